--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+PYTHON ?= python3
+BIN := .venv/bin
+DEPLOYMENT ?= plovdiv
+
+.PHONY: demo test lint fuzz plots
+
+.venv/ready: requirements.lock pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps \
+		--no-build-isolation -e .
+	touch $@
+
+demo: .venv/ready
+	$(BIN)/python -m bench demo --deployment $(DEPLOYMENT)
+
+test: .venv/ready
+	$(BIN)/python -m nose2 -v
+
+lint: .venv/ready
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+
+# A long search for schedules that break a promise; CI runs a short, fixed one.
+fuzz: .venv/ready
+	JACKDAW_FUZZ_EXAMPLES=5000 $(BIN)/python -m nose2 -v tests.test_fuzz_once_only \
+		tests.test_fuzz_admission tests.test_fuzz_publications
--- /dev/null
+++ b/src/jackdawlanding/__init__.py
@@ -0,0 +1,3 @@
+"""Overload control for service call graphs."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/jackdawlanding/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines of the daemon and of the operators' tool."""
--- /dev/null
+++ b/src/jackdawlanding/cli/logs.py
@@ -0,0 +1,50 @@
+"""Log output: short text lines, or one JSON object a line."""
+
+import enum
+import json
+import logging
+import time
+
+
+class Format(enum.StrEnum):
+    """How log lines are written."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+class JsonFormatter(logging.Formatter):
+    """Formats a record as one JSON object."""
+
+    def format(self, record):
+        """Return the record's time, level, part and text, and audit fields."""
+        prefix, _, text = record.getMessage().partition(": ")
+        line = {
+            "at": time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+            + f".{int(record.msecs):03d}Z",
+            "level": record.levelname.lower(),
+            "part": prefix,
+            "text": text,
+        }
+        audit = getattr(record, "record", None)
+        if audit:
+            line["text"] = f"{audit['subject']} changed."
+            line["record"] = audit
+        if record.exc_info:
+            line["error"] = self.formatException(record.exc_info)
+        return json.dumps(line)
+
+
+FORMATTERS = {
+    Format.TEXT: lambda: logging.Formatter("%(asctime)s %(levelname)s %(message)s"),
+    Format.JSON: JsonFormatter,
+}
+
+
+def configure(*, kind, level):
+    """Send log records of ``level`` and above to standard error."""
+    handler = logging.StreamHandler()
+    handler.setFormatter(FORMATTERS[kind]())
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
--- /dev/null
+++ b/src/jackdawlanding/daemon/app.py
@@ -0,0 +1,235 @@
+"""Puts a daemon's parts together, runs them and lets them leave."""
+
+import logging
+import secrets
+import threading
+import time
+
+from jackdawlanding.daemon import (
+    admin,
+    context as contexts,
+    control as controls,
+    dispatch,
+    doors,
+    listener,
+    local,
+    onceonly,
+    peers,
+    reactor,
+    supervisor,
+    values as published,
+)
+
+logger = logging.getLogger("jackdaw.daemon")
+
+INCARNATION_BYTES = 6
+LEAVE_NOTICE_SECONDS = 1.0
+LEAVE_CHECK_SECONDS = 0.05
+EXIT_OK = 0
+EXIT_FAILED = 1
+
+
+class Daemon:
+    """One ``jackdawd``.
+
+    :param settings: an ``options.Settings``.
+    :param allows: see :class:`peers.PeerPool`; for tests that cut links.
+    """
+
+    def __init__(self, *, settings, allows=None):
+        self.settings = settings
+        self.context = contexts.Context(
+            settings=settings,
+            incarnation=secrets.token_hex(INCARNATION_BYTES),
+            allows=allows,
+        )
+        self._stopped = threading.Event()
+        self._failed = False
+        self._reactor = reactor.Reactor(threads=settings.threads)
+        self._build_parts()
+        self._build_listeners()
+
+    @property
+    def ports(self):
+        """The ports in use, by the listener's name."""
+        return {name: one.port for name, one in self._listeners.items()}
+
+    def run(self):
+        """Serve until told to leave; return the exit code."""
+        self._reactor.start()
+        for one in self._listeners.values():
+            one.start()
+        logger.info(
+            "daemon: %s serves %s.", self.settings.instance, self.settings.service
+        )
+        root = supervisor.Supervisor(
+            name="root", parts=self._list_parts(), on_restart=self._note_restart
+        )
+        try:
+            root.run(self._stopped)
+        except Exception:
+            logger.exception("daemon: a part could not be kept running; leaving.")
+            self._failed = True
+            self.leave()
+        self._close()
+        return EXIT_FAILED if self._failed else EXIT_OK
+
+    def leave(self):
+        """Refuse new work, hand over, finish what is in flight, then stop."""
+        if self.context.leaving.is_set():
+            return
+        began = time.monotonic()
+        self.context.leaving.set()
+        self.context.trail.record("leaving", cause="a planned stop", after="leaving")
+        logger.info("daemon: leaving.")
+        self.control.announce_leaving()
+        grace = self._find_grace()
+        while time.monotonic() - began < grace:
+            if self._is_done(time.monotonic() - began):
+                break
+            time.sleep(LEAVE_CHECK_SECONDS)
+        logger.info("daemon: left after %.2f s.", time.monotonic() - began)
+        self._stopped.set()
+
+    def leave_in_background(self):
+        """Leave on a thread of its own; a second call changes nothing."""
+        threading.Thread(target=self.leave, name="leave", daemon=True).start()
+
+    def _find_grace(self):
+        declaration = self.context.declaration
+        if declaration:
+            return declaration.leaving.grace_seconds
+        return self.settings.grace_seconds
+
+    def _is_done(self, seconds):
+        """Return whether nothing is in flight and callers had time to notice."""
+        gate = self.context.admission.gate
+        busy = gate.in_flight + gate.queued + len(self.context.held)
+        return not busy and not self.doors.busy and seconds > LEAVE_NOTICE_SECONDS
+
+    def _build_parts(self):
+        context = self.context
+        self.runner = local.LocalRunner(
+            context=context,
+            announce=lambda fingerprint, deaths: self.control.announce(
+                fingerprint, deaths
+            ),
+        )
+        self.dispatcher = dispatch.Dispatcher(
+            context=context,
+            runner=self.runner,
+            start_once_only=lambda call: self.once_only.start(call),
+        )
+        self.once_only = onceonly.OnceOnly(
+            context=context,
+            runner=self.runner,
+            send_to=self.dispatcher.send_to,
+            find_address=context.roster.find_address,
+        )
+        self.values = published.Values(context=context)
+        self.values.watch(adopted=self._adopt, listed=self._note_list)
+        self.control = controls.Control(
+            context=context, once_only=self.once_only, values=self.values
+        )
+        self.doors = doors.Doors(
+            context=context,
+            dispatcher=self.dispatcher,
+            runner=self.runner,
+            once_only=self.once_only,
+        )
+        self.pages = admin.Pages(context=context, once_only=self.once_only)
+
+    def _build_listeners(self):
+        settings = self.settings
+        self._listeners = {
+            "callers": self._listen(
+                settings.caller_address, self._make_http(self.doors.serve_caller)
+            ),
+            "local": self._listen(
+                settings.local_address, self._make_http(self.doors.serve_backend)
+            ),
+            "admin": self._listen(
+                settings.admin_address, self._make_http(self.pages.serve)
+            ),
+            "peers": self._listen(settings.peer_address, self._make_peer),
+        }
+
+    def _listen(self, address, make_handler):
+        return reactor.Listener(
+            reactor=self._reactor,
+            address=address,
+            make_handler=make_handler,
+            maximum_connections=self.settings.maximum_connections,
+        )
+
+    def _make_http(self, serve):
+        bounds = listener.Bounds(
+            head_bytes=self.settings.head_bytes,
+            body_bytes=self.settings.body_bytes,
+            arrival_seconds=self.settings.arrival_seconds,
+        )
+
+        def make(sock, peer, note_closed):
+            return listener.HttpConnection(
+                sock=sock,
+                peer=peer,
+                serve=serve,
+                bounds=bounds,
+                note_closed=note_closed,
+                leaving=self.context.leaving,
+            )
+
+        return make
+
+    def _make_peer(self, sock, peer, note_closed):
+        return peers.PeerHandler(
+            sock=sock,
+            watcher=self._reactor,
+            serve_call=self.doors.serve_peer,
+            serve_sync=self.control.serve,
+            note_closed=note_closed,
+        )
+
+    def _list_parts(self):
+        platform = supervisor.Supervisor(
+            name="platform",
+            parts=[supervisor.Part(name="values", run=self.values.run)],
+            on_restart=self._note_restart,
+        )
+        return [
+            supervisor.Part(name="platform", run=platform.run),
+            supervisor.Part(name="control", run=self.control.run),
+            supervisor.Part(name="admission", run=self.context.admission.run),
+            supervisor.Part(
+                name="sweeper", run=reactor.Sweeper(reactor=self._reactor).run
+            ),
+        ]
+
+    def _note_restart(self, part, error):
+        self.context.trail.record(part.name, cause=repr(error), after="restarted")
+
+    def _adopt(self, declaration):
+        """Put a new declaration of the own service in force."""
+        gate = self.context.admission.gate
+        gate.limit.bound(
+            minimum=declaration.limit.minimum, maximum=declaration.limit.maximum
+        )
+        gate.queue_length = declaration.limit.queue
+        horizons = [
+            work.repeat_horizon_seconds for work in declaration.work if work.once_only
+        ]
+        if horizons:
+            self.once_only.set_horizon(max(horizons))
+
+    def _note_list(self, read_at, roster):
+        with self.once_only.lock:
+            self.once_only.ownership.record_list(now=read_at, names_me=roster.is_named)
+        if roster.is_listed_leaving and not self.context.leaving.is_set():
+            logger.info("daemon: the platform's list says that this instance leaves.")
+            self.leave_in_background()
+
+    def _close(self):
+        self.control.stop()
+        self._reactor.stop()
+        self.context.pool.close()
+        self.context.backend.close()
--- /dev/null
+++ b/src/jackdawlanding/daemon/context.py
@@ -0,0 +1,104 @@
+"""What the parts of a daemon share; passed down in place of globals."""
+
+import threading
+import time
+
+from jackdawlanding.daemon import (
+    admission as admissions,
+    audit,
+    backend,
+    calls,
+    metrics,
+    peers,
+)
+from jackdawlanding.decisions import (
+    admission as gates,
+    allowance,
+    membership,
+    publications as stores,
+    quarantine,
+    routing,
+)
+from jackdawlanding.settings import publications
+
+INITIAL_LIMIT_SHARE = 0.5
+
+
+class Context:
+    """One daemon's parts.
+
+    :param settings: an ``options.Settings``.
+    :param incarnation: a text that no other process of the instance has.
+    :param allows: see :class:`peers.PeerPool`.
+    """
+
+    def __init__(self, *, settings, incarnation, allows=None):
+        self.settings = settings
+        self.incarnation = incarnation
+        self.started_at = time.monotonic()
+        self.leaving = threading.Event()
+        self.trail = audit.Trail()
+        self.metrics = metrics.Metrics()
+        self.store = stores.Store(decode=publications.decode)
+        self.quarantine = quarantine.Quarantine()
+        self.budget = allowance.RetryBudget(ratio=settings.retry_ratio)
+        self.held = calls.HeldCalls()
+        self.pool = peers.PeerPool(allows=allows)
+        self.backend = backend.BackendClient(
+            address=settings.backend_address, maximum_body=settings.answer_bytes
+        )
+        limits = self.declaration_limits()
+        self.admission = admissions.Admission(
+            gate=gates.make_gate(
+                minimum=limits.minimum,
+                maximum=limits.maximum,
+                queue_length=limits.queue,
+                initial=max(limits.minimum, limits.maximum * INITIAL_LIMIT_SHARE),
+            )
+        )
+        self.roster = membership.Roster(
+            instance=settings.instance,
+            incarnation=incarnation,
+            gone_seconds=settings.gone_seconds,
+            settle_seconds=settings.settle_seconds,
+        )
+        self._routers = {}
+        self._routers_lock = threading.Lock()
+
+    @property
+    def declaration(self):
+        """The declaration of this daemon's own service, or ``None``."""
+        return self.find_declaration(self.settings.service)
+
+    def find_declaration(self, service):
+        """Return the declaration in force of a service, or ``None``."""
+        held = self.store.get(service)
+        return held.publication.declaration if held else None
+
+    def declaration_limits(self):
+        """Return the bounds of the concurrency limit in force."""
+        declaration = self.declaration
+        return declaration.limit if declaration else DEFAULT_LIMIT
+
+    def get_router(self, service):
+        """Return the router to a service's instances."""
+        router = self._routers.get(service)
+        if router:
+            return router
+        with self._routers_lock:
+            return self._routers.setdefault(
+                service,
+                routing.Router(
+                    region=self.settings.region,
+                    failure_domain=self.settings.failure_domain,
+                ),
+            )
+
+    def list_services(self):
+        """Return the services that this daemon serves and calls."""
+        declaration = self.declaration
+        called = declaration.calls if declaration else ()
+        return (self.settings.service, *called)
+
+
+DEFAULT_LIMIT = publications.declarations.Limit()
--- /dev/null
+++ b/src/jackdawlanding/daemon/control.py
@@ -0,0 +1,368 @@
+"""What daemons tell each other besides calls: membership, values, suspects."""
+
+import concurrent.futures
+import logging
+import random
+import time
+
+from jackdawlanding.daemon import instances, peers
+from jackdawlanding.decisions import ownership
+from jackdawlanding.wire import codec, framing
+
+logger = logging.getLogger("jackdaw.control")
+
+STEP_SECONDS = 0.25
+GOSSIP_SECONDS = 1.0
+GOSSIP_PEERS = 2
+CALLED_SECONDS = 3.0
+SYNC_TIMEOUT_SECONDS = 1.0
+ANNOUNCE_SECONDS = 0.3
+PAUSE_SECONDS = 2.0
+SYNC_THREADS = 8
+MAXIMUM_TOLD_SUSPECTS = 64
+
+
+class Control:
+    """Keeps views, published values and suspects in step with the peers.
+
+    :param context: the daemon's :class:`context.Context`.
+    :param once_only: a :class:`onceonly.OnceOnly`.
+    :param values: a :class:`values.Values`.
+    """
+
+    def __init__(self, *, context, once_only, values):
+        self._context = context
+        self._once_only = once_only
+        self._values = values
+        self._pool = concurrent.futures.ThreadPoolExecutor(
+            max_workers=SYNC_THREADS, thread_name_prefix="sync"
+        )
+        self._busy = set()
+        self._stepped_at = time.monotonic()
+        self._gossiped_at = float("-inf")
+        self._called_at = float("-inf")
+
+    def run(self, stopped):
+        """Step until ``stopped`` is set; for a supervisor."""
+        while not stopped.wait(STEP_SECONDS):
+            self.step(time.monotonic())
+
+    def step(self, now):
+        """Notice pauses, adopt the view, and ask the peers that are due."""
+        self._notice_pause(now)
+        self._adopt_view(now)
+        for address, wants_keys in self._list_due(now):
+            self._submit(address, wants_keys=wants_keys)
+        if now - self._called_at >= CALLED_SECONDS:
+            self._called_at = now
+            self._sync_called()
+
+    def announce(self, fingerprint, deaths):
+        """Tell all members of a suspect; wait a little for their answers."""
+        futures = [
+            self._pool.submit(self._sync, address, {})
+            for address in self._list_addresses()
+        ]
+        concurrent.futures.wait(futures, timeout=ANNOUNCE_SECONDS)
+
+    def announce_leaving(self):
+        """Tell all members that this daemon leaves; return when they know."""
+        self._context.roster.is_leaving = True
+        futures = [
+            self._pool.submit(self._sync, address, {})
+            for address in self._list_addresses()
+        ]
+        concurrent.futures.wait(futures, timeout=SYNC_TIMEOUT_SECONDS)
+
+    def serve(self, message, body):
+        """Answer a peer's sync message."""
+        now = time.monotonic()
+        self._context.metrics.count("control_messages_in")
+        self._learn_sender(message)
+        self._learn_suspects(now, message.suspects)
+        answer = self._make_message(message.id, now)
+        if message.wants_instances:
+            entries = list(self._context.roster.listed.values())
+            return answer, instances.encode(entries)
+        if message.wants_publication:
+            held = self._context.store.get(message.wants_publication)
+            return answer, held.data if held else b""
+        if message.wants_keys:
+            return self._tell_keys(message, answer, now)
+        return answer, b""
+
+    def stop(self):
+        """Stop asking."""
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def _notice_pause(self, now):
+        gap = now - self._stepped_at
+        self._stepped_at = now
+        if gap < PAUSE_SECONDS:
+            return
+        logger.warning("control: the process was paused for %.1f s.", gap)
+        self._context.trail.record("view", cause="a pause", after="stale")
+        with self._once_only.lock:
+            self._once_only.ownership.forget_freshness()
+
+    def _adopt_view(self, now):
+        members = self._context.roster.list_members(now=now)
+        with self._once_only.lock:
+            owner = self._once_only.ownership
+            owner.tick(now=now)
+            before = owner.view
+            if members and owner.adopt(members=members):
+                self._context.trail.record(
+                    "view",
+                    cause="membership",
+                    before=",".join(sorted(before)),
+                    after=",".join(sorted(members)),
+                )
+            established = owner.settle(
+                now=now, wall=time.time(), is_new_service=self._is_new_service()
+            )
+        if established:
+            self._note_established()
+
+    def _list_due(self, now):
+        """Return pairs of an address and whether to ask for keys."""
+        roster = self._context.roster
+        with self._once_only.lock:
+            unanswered = {
+                one.partition("#")[0]
+                for one in self._once_only.ownership.list_unanswered()
+            }
+            stale = not self._once_only.ownership.is_fresh(now=now)
+        others = {
+            name: entry.address
+            for name, entry in roster.listed.items()
+            if name != self._context.settings.instance
+        }
+        urgent = [
+            name
+            for name in others
+            if name in unanswered or not roster.is_contacted(name)
+        ]
+        due = [(others[name], name in unanswered) for name in urgent]
+        if now - self._gossiped_at >= GOSSIP_SECONDS:
+            self._gossiped_at = now
+            calm = [name for name in others if name not in urgent]
+            count = len(calm) if stale else min(GOSSIP_PEERS, len(calm))
+            due += [(others[name], False) for name in random.sample(calm, count)]
+        return due
+
+    def _sync_called(self):
+        """Ask one instance of each called service for its values' versions."""
+        for service in self._context.list_services()[1:]:
+            endpoints = list(self._context.get_router(service).endpoints.values())
+            if endpoints:
+                self._submit(random.choice(endpoints).address, service=service)
+
+    def _submit(self, address, *, wants_keys=False, service=None):
+        if address in self._busy:
+            return
+        self._busy.add(address)
+        fields = {"wants_keys": wants_keys}
+        self._pool.submit(self._sync_quietly, address, fields, service)
+
+    def _sync_quietly(self, address, fields, service):
+        try:
+            self._sync(address, fields, service)
+        except Exception:
+            logger.exception("control: a sync failed.")
+        finally:
+            self._busy.discard(address)
+
+    def _sync(self, address, fields, service=None):
+        """Send one sync message and learn from its answer."""
+        with self._once_only.lock:
+            view_hash = self._once_only.ownership.view_hash
+        reply = self._ask(address, view_hash=view_hash, **fields)
+        if reply is None:
+            return
+        now = time.monotonic()
+        self._learn_sender(reply.message)
+        self._learn_suspects(now, reply.message.suspects)
+        if fields.get("wants_keys") and reply.message.agrees:
+            self._learn_keys(now, reply, view_hash)
+        self._fetch_newer(address, reply.message, service)
+
+    def _ask(self, address, **fields):
+        """Return a peer's reply, or ``None`` where it does not answer."""
+
+        def encode(number):
+            message = self._make_message(number, time.monotonic())
+            data = codec.encode_sync(message._replace(**fields))
+            self._context.metrics.count("control_bytes_out", len(data))
+            return data
+
+        self._context.metrics.count("control_messages_out")
+        try:
+            return self._context.pool.request(
+                address=address,
+                kind=framing.Kind.SYNC,
+                encode=encode,
+                timeout=SYNC_TIMEOUT_SECONDS,
+            )
+        except peers.PeerError:
+            return None
+
+    def _make_message(self, number, now):
+        context = self._context
+        with self._once_only.lock:
+            view_hash = self._once_only.ownership.view_hash
+        return codec.SyncMessage(
+            id=number,
+            instance=context.settings.instance,
+            incarnation=context.incarnation,
+            service=context.settings.service,
+            leaving=context.leaving.is_set(),
+            view_hash=view_hash,
+            publications=tuple(
+                codec.Digest(service=service, version=version)
+                for service, version in context.store.versions().items()
+            ),
+            suspects=tuple(
+                codec.Suspect(fingerprint=fingerprint, deaths=deaths, left=left)
+                for fingerprint, deaths, left in context.quarantine.export(now=now)[
+                    -MAXIMUM_TOLD_SUSPECTS:
+                ]
+            ),
+            age=now - context.started_at,
+            list_hash=instances.compute_hash(context.roster.listed.values()),
+        )
+
+    def _tell_keys(self, message, answer, now):
+        with self._once_only.lock:
+            history = self._once_only.ownership.tell(
+                now=now, view_hash=message.view_hash
+            )
+            if history is None:
+                return answer, b""
+            records = self._once_only.ledger.export(now=now)
+        wall = time.time()
+        answer = answer._replace(
+            agrees=True,
+            has_keys=True,
+            pending=tuple(tuple(sorted(view)) for view in history.pending),
+            uncertain=tuple(
+                codec.Uncertainty(
+                    views=tuple(tuple(sorted(view)) for view in one.views),
+                    gone=tuple(sorted(one.gone)),
+                    left=one.until - now,
+                    since=min(one.since, wall),
+                )
+                for one in history.uncertain
+            ),
+        )
+        return answer, records
+
+    def _learn_keys(self, now, reply, view_hash):
+        message = reply.message
+        history = ownership.History(
+            pending=tuple(frozenset(view) for view in message.pending),
+            uncertain=tuple(
+                ownership.Uncertain(
+                    views=tuple(frozenset(view) for view in one.views),
+                    gone=frozenset(one.gone),
+                    until=now + one.left,
+                    since=one.since,
+                )
+                for one in message.uncertain
+            ),
+        )
+        member = f"{message.instance}#{message.incarnation}"
+        with self._once_only.lock:
+            self._once_only.ledger.merge(now=now, records=reply.body)
+            established = self._once_only.ownership.learn(
+                now=now,
+                wall=time.time(),
+                member=member,
+                view_hash=view_hash,
+                history=history,
+                is_new_service=self._is_new_service(),
+            )
+        if established:
+            self._note_established()
+
+    def _note_established(self):
+        uncertain = self._once_only.ownership.uncertain
+        self._context.trail.record(
+            "ownership",
+            cause="all members answered",
+            after=f"established; {len(uncertain)} uncertain",
+        )
+
+    def _is_new_service(self):
+        """Whether the service was first published within the repeat horizon."""
+        held = self._context.store.get(self._context.settings.service)
+        if held is None:
+            return False
+        return time.time() - held.publication.created < self._once_only.ledger.horizon
+
+    def _learn_sender(self, message):
+        if message.service != self._context.settings.service:
+            return
+        changed = self._context.roster.record_contact(
+            instance=message.instance,
+            incarnation=message.incarnation,
+            leaving=message.leaving,
+        )
+        if message.leaving:
+            router = self._context.get_router(message.service)
+            router.record_draining(instance=message.instance)
+        with self._once_only.lock:
+            owner = self._once_only.ownership
+            if message.view_hash == owner.view_hash:
+                owner.record_contact(
+                    now=time.monotonic(),
+                    member=f"{message.instance}#{message.incarnation}",
+                )
+        if changed:
+            self._context.trail.record(
+                "membership",
+                cause="contact",
+                after=f"{message.instance}#{message.incarnation}"
+                + (" leaving" if message.leaving else ""),
+            )
+            self._values.hurry()
+            self._adopt_view(time.monotonic())
+
+    def _learn_suspects(self, now, suspects):
+        for one in suspects:
+            if self._context.quarantine.learn(
+                now=now, fingerprint=one.fingerprint, deaths=one.deaths, left=one.left
+            ):
+                self._context.trail.record(
+                    "quarantine", cause="a peer told", after=one.deaths
+                )
+
+    def _fetch_newer(self, address, message, service):
+        """Fetch values that the peer holds in a higher version, and its list."""
+        wanted = set(self._context.list_services())
+        for digest in message.publications:
+            known = self._context.store.version(digest.service)
+            if digest.service in wanted and digest.version > known:
+                self._fetch_value(address, digest.service)
+        if service and message.service == service:
+            known = self._context.get_router(service).endpoints.values()
+            if message.list_hash != instances.compute_hash(known):
+                self._fetch_instances(address, service)
+
+    def _fetch_value(self, address, service):
+        reply = self._ask(address, wants_publication=service)
+        if reply and reply.body:
+            self._values.offer(service, reply.body, cause="a peer")
+
+    def _fetch_instances(self, address, service):
+        reply = self._ask(address, wants_instances=True)
+        if reply and reply.body:
+            entries = instances.decode(reply.body)
+            self._values.take_instances(service, entries)
+
+    def _list_addresses(self):
+        return [
+            entry.address
+            for name, entry in self._context.roster.listed.items()
+            if name != self._context.settings.instance
+        ]
--- /dev/null
+++ b/src/jackdawlanding/daemon/dispatch.py
@@ -0,0 +1,218 @@
+"""Sends a call to an instance of its service, with bounded retries."""
+
+import time
+
+from jackdawlanding.daemon import local, messages, peers
+from jackdawlanding.decisions import outcomes, rendezvous
+from jackdawlanding.wire import codec, framing
+
+MAXIMUM_TRIES = 4
+ROLE_SERVE = 0
+ROLE_WITNESS = 1
+ROLE_OWN = 2
+
+# No backend server saw these calls, and another instance may take them.
+FREE_REASONS = frozenset({"suspect", "leaving"})
+RETRYABLE_NOT_RUN = frozenset({"unreachable"})
+RETRYABLE_UNKNOWN = frozenset({"died", "cut-short", "peer-lost"})
+
+
+class Dispatcher:
+    """Chooses where a call goes and whether it goes again.
+
+    :param context: the daemon's :class:`context.Context`.
+    :param runner: a :class:`local.LocalRunner`.
+    :param start_once_only: starts a once-only call at its pair.
+    """
+
+    def __init__(self, *, context, runner, start_once_only):
+        self._context = context
+        self._runner = runner
+        self._start_once_only = start_once_only
+
+    def dispatch(self, call):
+        """Return the answer to a call of a caller or of the backend server."""
+        self._context.budget.record_first_try()
+        self._context.metrics.count("first_tries")
+        tried = set()
+        answer = None
+        for _ in range(MAXIMUM_TRIES):
+            target = self._choose(call, tried, answer)
+            if target is None:
+                return answer or self._refuse_early(call)
+            answer = self._send(call, target)
+            if not self._may_try_again(call, answer):
+                return answer
+            tried.add(target)
+        return answer
+
+    def send_to(self, call, *, address, role=ROLE_SERVE, pair=("", ""), share=0):
+        """Send a call to one daemon; return the answer and its message.
+
+        The message is ``None`` where no answer came.
+        """
+        timeout = call.left
+        if timeout <= 0:
+            return messages.refuse("too-late"), None
+        if not address:
+            return messages.refuse("unreachable"), None
+
+        def encode(number):
+            return codec.encode_call(_make_message(call, number, role, pair, share))
+
+        try:
+            reply = self._context.pool.request(
+                address=address,
+                kind=framing.Kind.CALL,
+                encode=encode,
+                body=call.body,
+                timeout=timeout,
+            )
+        except peers.PeerError as error:
+            sent = outcomes.Outcome.UNKNOWN if error.sent else outcomes.Outcome.NOT_RUN
+            return messages.refuse(error.reason, outcome=sent), None
+        return convert_answer(reply), reply.message
+
+    def _choose(self, call, tried, answer):
+        """Return the name of the instance to try, or ``None``."""
+        if self._is_suspect(call, answer):
+            names = self._context.get_router(call.service).endpoints
+            return local.choose_suspect_instance(local.make_fingerprint(call), names)
+        here = self._context.settings.instance
+        serves_here = call.service == self._context.settings.service
+        leaving = self._context.leaving.is_set()
+        if serves_here and here not in tried and not leaving:
+            if not self._context.admission.is_full() or call.work.once_only:
+                return here
+            return self._choose_near(call, {*tried, here}) or here
+        return self._choose_near(call, {*tried, here})
+
+    def _choose_near(self, call, exclude):
+        endpoint = self._context.get_router(call.service).choose(
+            now=time.monotonic(),
+            rank=call.rank,
+            cross_region=call.work.cross_region or call.protected,
+            exclude=exclude,
+        )
+        return endpoint.instance if endpoint else None
+
+    def _is_suspect(self, call, answer):
+        if call.work.once_only:
+            return False
+        if answer is None:
+            return self._runner.is_suspect(call)
+        return answer.reason in ("suspect", *local.DEATH_REASONS)
+
+    def _refuse_early(self, call):
+        """Refuse here what would be refused at its end."""
+        self._context.metrics.count("refused_early")
+        known = self._context.get_router(call.service).endpoints
+        return messages.refuse("over-limit" if known else "no-instance")
+
+    def _send(self, call, target):
+        if target == self._context.settings.instance:
+            return self._serve_here(call)
+        router = self._context.get_router(call.service)
+        endpoint = router.endpoints.get(target)
+        if endpoint is None:
+            return messages.refuse("no-instance")
+        share = call.allowance.take_share()
+        router.record_sent(instance=target)
+        began = time.monotonic()
+        answer, message = self.send_to(call, address=endpoint.address, share=share)
+        self._learn(router, target, began, answer, message)
+        # A share that got lost with its answer stays lost: never two copies.
+        if message:
+            call.allowance.give_back(retries=min(share, message.allowance_left))
+        elif answer.outcome is outcomes.Outcome.NOT_RUN:
+            call.allowance.give_back(retries=share)
+        return answer
+
+    def _serve_here(self, call):
+        if call.work.once_only:
+            return self._start_once_only(call)
+        return self._runner.run(call)
+
+    def _learn(self, router, target, began, answer, message):
+        now = time.monotonic()
+        if message:
+            router.record_answer(
+                now=now,
+                instance=target,
+                latency=now - began,
+                in_flight=message.in_flight,
+                limit=message.limit,
+                threshold=message.threshold,
+                draining=message.draining,
+            )
+        elif router.record_failure(now=now, instance=target):
+            self._context.trail.record(
+                "routing", cause=answer.reason, before=target, after="ejected"
+            )
+
+    def _may_try_again(self, call, answer):
+        if answer.retried or call.left <= 0:
+            return False
+        if answer.reason in FREE_REASONS:
+            return True
+        if not _is_retryable(call, answer):
+            return False
+        if not call.allowance.take():
+            return False
+        if not self._context.budget.spend():
+            call.allowance.give_back(retries=1)
+            return False
+        self._context.metrics.count("retries")
+        return True
+
+
+def _is_retryable(call, answer):
+    if answer.outcome is outcomes.Outcome.NOT_RUN:
+        return answer.reason in RETRYABLE_NOT_RUN
+    return call.work.repeatable and answer.reason in RETRYABLE_UNKNOWN
+
+
+def _make_message(call, number, role, pair, share):
+    return codec.CallMessage(
+        id=number,
+        service=call.service,
+        method=call.method,
+        target=call.target,
+        headers=messages.pack(call.headers),
+        deadline=call.left,
+        allowance=share,
+        caller=call.caller,
+        key=call.key,
+        role=role,
+        owner=pair[0],
+        witness=pair[1] or "",
+        work=call.work.name,
+        rank=call.rank,
+        protected=call.protected,
+    )
+
+
+def convert_answer(reply):
+    """Convert a peer's reply to an answer."""
+    message = reply.message
+    response = messages.Response(
+        status=message.status,
+        headers=messages.unpack(message.headers),
+        body=reply.body,
+    )
+    return messages.Answer(
+        response=response,
+        outcome=outcomes.Outcome(message.outcome),
+        reason=message.reason,
+        retried=message.retried,
+        vouched=message.vouched,
+    )
+
+
+def digest_key(call, *, has_caller):
+    """Return the digest of a once-only call's key.
+
+    :param has_caller: whether the caller's declared identity is part of it.
+    """
+    scope = call.caller if has_caller else ""
+    return rendezvous.digest(call.service, call.work.name, scope, call.key)
--- /dev/null
+++ b/src/jackdawlanding/daemon/doors.py
@@ -0,0 +1,250 @@
+"""Where calls come in: callers, the own backend server and other daemons."""
+
+import concurrent.futures
+import contextlib
+import logging
+import threading
+import time
+
+from jackdawlanding.daemon import calls, dispatch, messages
+from jackdawlanding.decisions import allowance, outcomes, work as works
+from jackdawlanding.wire import codec
+
+logger = logging.getLogger("jackdaw.doors")
+
+LOCAL_DEADLINE_SECONDS = 5.0
+HOST = b"host"
+CALL_TOKEN = messages.CALL_HEADER.lower()
+
+
+class JoinTable:
+    """Attempts that run here, by caller and key, for repeats to join."""
+
+    def __init__(self):
+        self._running = {}
+        self._lock = threading.Lock()
+
+    def join_or_begin(self, key):
+        """Return the running attempt's future, or ``None`` if this one begins."""
+        with self._lock:
+            running = self._running.get(key)
+            if running is None:
+                self._running[key] = concurrent.futures.Future()
+            return running
+
+    def finish(self, key, answer):
+        """Give the answer to all that joined."""
+        with self._lock:
+            future = self._running.pop(key)
+        future.set_result(answer)
+
+
+class Doors:
+    """Turns what comes in into calls, and answers them.
+
+    :param context: the daemon's :class:`context.Context`.
+    :param dispatcher: a :class:`dispatch.Dispatcher`.
+    :param runner: a :class:`local.LocalRunner`.
+    :param once_only: a :class:`onceonly.OnceOnly`.
+    """
+
+    def __init__(self, *, context, dispatcher, runner, once_only):
+        self._context = context
+        self._dispatcher = dispatcher
+        self._runner = runner
+        self._once_only = once_only
+        self._joins = JoinTable()
+        self._busy = 0
+        self._busy_lock = threading.Lock()
+
+    @property
+    def busy(self):
+        """How many requests are being answered."""
+        return self._busy
+
+    def serve_caller(self, request):
+        """Answer a request from outside; its own Jackdaw headers don't count."""
+        began = time.monotonic()
+        with self._counted():
+            call = self._make_entry_call(request)
+            answer = self._serve_joined(call) if call.key else self._dispatch(call)
+        return self._finish(call, answer, began)
+
+    def serve_backend(self, request):
+        """Answer a request that the own backend server makes."""
+        began = time.monotonic()
+        parent = self._context.held.find(request.find(CALL_TOKEN))
+        service = request.find(HOST).partition(":")[0]
+        declaration = self._context.find_declaration(service)
+        if declaration is None:
+            return messages.refuse(
+                "undeclared-service", detail=f"Add {service!r} to calls and publish."
+            )
+        call = self._make_inner_call(request, service, declaration, parent)
+        return self._finish(call, self._dispatch(call), began)
+
+    def serve_peer(self, message, body, cancellation):
+        """Answer a call that another daemon passed; it is never passed on.
+
+        A once-only call goes on to its pair, which is two steps at most.
+        """
+        began = time.monotonic()
+        call = self._make_peer_call(message, body)
+        with self._counted():
+            answer = self._serve_role(call, message, cancellation)
+        self._record(call, answer, began)
+        gate = self._context.admission.gate
+        reply = codec.AnswerMessage(
+            id=message.id,
+            status=answer.response.status,
+            headers=messages.pack(answer.response.headers),
+            outcome=answer.outcome,
+            reason=answer.reason,
+            allowance_left=call.allowance.left,
+            threshold=self._context.admission.threshold(),
+            in_flight=gate.in_flight + gate.queued,
+            limit=gate.limit.limit,
+            draining=self._context.leaving.is_set(),
+            retried=answer.retried,
+            vouched=answer.vouched,
+        )
+        return reply, answer.response.body
+
+    @contextlib.contextmanager
+    def _counted(self):
+        with self._busy_lock:
+            self._busy += 1
+        try:
+            yield
+        finally:
+            with self._busy_lock:
+                self._busy -= 1
+
+    def _serve_role(self, call, message, cancellation):
+        pair = (message.owner, message.witness or None)
+        if message.role in (dispatch.ROLE_WITNESS, dispatch.ROLE_OWN):
+            return self._once_only.attempt(call, pair)
+        if self._context.leaving.is_set():
+            return messages.refuse("leaving")
+        if call.work.once_only:
+            return self._once_only.start(call)
+        return self._runner.run(call, cancellation)
+
+    def _serve_joined(self, call):
+        """Answer a repeat from the attempt that runs, where there is one."""
+        key = (call.caller, call.method, call.target, call.key)
+        running = self._joins.join_or_begin(key)
+        if running is not None:
+            return self._wait_for(call, running)
+        answer = messages.refuse("internal", outcome=outcomes.Outcome.UNKNOWN)
+        try:
+            answer = self._dispatch(call)
+        finally:
+            self._joins.finish(key, answer)
+        return answer
+
+    def _wait_for(self, call, running):
+        self._context.metrics.count("joined")
+        try:
+            return running.result(timeout=max(0.0, call.left))
+        except concurrent.futures.TimeoutError:
+            return messages.refuse("attempt-running", outcome=outcomes.Outcome.UNKNOWN)
+
+    def _dispatch(self, call):
+        return self._dispatcher.dispatch(call)
+
+    def _finish(self, call, answer, began):
+        self._record(call, answer, began)
+        return _tell_outcome(call, answer)
+
+    def _record(self, call, answer, began):
+        self._context.metrics.record_call(
+            rank=call.rank,
+            outcome=answer.outcome.label,
+            reason=answer.reason,
+            seconds=time.monotonic() - began,
+        )
+
+    def _make_entry_call(self, request):
+        service = self._context.settings.service
+        declaration = self._context.declaration
+        if declaration is None:
+            work = works.make_undeclared(method=request.method, path=request.target)
+            caller, retries = request.peer, 0
+        else:
+            work = declaration.find_work(method=request.method, target=request.target)
+            caller = _find_caller(declaration, request)
+            retries = declaration.retry_allowance
+        return calls.Call(
+            service=service,
+            method=request.method,
+            target=request.target,
+            headers=messages.clean(request.headers),
+            body=request.body,
+            work=work,
+            rank=work.rank,
+            protected=work.protected,
+            caller=caller,
+            key=request.find(work.key_header.lower().encode()),
+            deadline=time.monotonic() + work.deadline_seconds,
+            allowance=allowance.TreeAllowance(retries=retries),
+        )
+
+    def _make_inner_call(self, request, service, declaration, parent):
+        work = declaration.find_work(method=request.method, target=request.target)
+        deadline = time.monotonic() + work.deadline_seconds
+        retries = allowance.TreeAllowance(retries=declaration.retry_allowance)
+        return calls.Call(
+            service=service,
+            method=request.method,
+            target=request.target,
+            headers=messages.clean(request.headers),
+            body=request.body,
+            work=work,
+            rank=parent.rank if parent else works.LOWEST_RANK,
+            protected=bool(parent and parent.protected),
+            caller=parent.caller if parent else self._context.settings.service,
+            key=request.find(work.key_header.lower().encode()),
+            deadline=min(deadline, parent.deadline) if parent else deadline,
+            allowance=parent.allowance if parent else retries,
+        )
+
+    def _make_peer_call(self, message, body):
+        declaration = self._context.declaration
+        if declaration is None:
+            work = works.make_undeclared(method=message.method, path=message.target)
+        else:
+            work = declaration.find_work(method=message.method, target=message.target)
+        return calls.Call(
+            service=message.service,
+            method=message.method,
+            target=message.target,
+            headers=messages.unpack(message.headers),
+            body=body,
+            work=work,
+            rank=message.rank,
+            protected=message.protected,
+            caller=message.caller,
+            key=message.key,
+            deadline=time.monotonic() + message.deadline,
+            allowance=allowance.TreeAllowance(retries=message.allowance),
+        )
+
+
+def _find_caller(declaration, request):
+    name = declaration.caller.header
+    return (request.find(name.lower().encode()) if name else "") or request.peer
+
+
+def _tell_outcome(call, answer):
+    """Put the outcome on a refusal as it holds for the caller.
+
+    A once-only refusal that its pair did not vouch for tells only of this
+    attempt; an earlier one with the key may have run.
+    """
+    if not answer.is_refusal or not call.work.once_only or answer.vouched:
+        return answer
+    if answer.outcome is not outcomes.Outcome.NOT_RUN or answer.reason == "key-missing":
+        return answer
+    unknown = messages.refuse(answer.reason, outcome=outcomes.Outcome.UNKNOWN)
+    return answer._replace(response=unknown.response)
--- /dev/null
+++ b/src/jackdawlanding/daemon/local.py
@@ -0,0 +1,155 @@
+"""Runs calls at this daemon's own backend server."""
+
+import logging
+import time
+
+from jackdawlanding.daemon import backend, calls, isolation, messages, peers
+from jackdawlanding.decisions import admission, outcomes, quarantine, rendezvous
+
+logger = logging.getLogger("jackdaw.local")
+
+SHEDDING_STATUSES = frozenset({429, 503})
+DEATH_REASONS = frozenset({"died", "cut-short"})
+
+
+class LocalRunner:
+    """Admits calls, runs them and learns from how they end.
+
+    :param context: the daemon's :class:`context.Context`.
+    :param announce: called with a suspect's fingerprint and deaths; tells the
+        other daemons of the service before the caller is answered.
+    """
+
+    def __init__(self, *, context, announce):
+        self._context = context
+        self._announce = announce
+        self._isolation = isolation.Isolation()
+
+    def run(self, call, cancellation=None):
+        """Run a call; return its :class:`messages.Answer`."""
+        refusal, alone = self._check_suspect(call)
+        if refusal:
+            return messages.refuse(refusal)
+        entry = admission.Entry(
+            work=call.work._replace(rank=call.rank, protected=call.protected),
+            caller=call.caller,
+            deadline=call.deadline,
+        )
+        reason = self._context.admission.enter(entry)
+        if reason:
+            return messages.refuse(reason)
+        answer = None
+        try:
+            with self._isolation.run(alone=alone, deadline=call.deadline) as entered:
+                answer = (
+                    self._call_backend(call, cancellation or peers.Cancellation())
+                    if entered
+                    else messages.refuse("too-late")
+                )
+        finally:
+            self._context.admission.leave(entry, shed=_is_shed(answer))
+        self._judge(call, answer, alone)
+        return answer
+
+    def is_suspect(self, call):
+        """Return whether a call must run alone, at the instance chosen for it."""
+        if not len(self._context.quarantine):
+            return False
+        deaths = self._context.quarantine.count_deaths(
+            now=time.monotonic(), fingerprint=make_fingerprint(call)
+        )
+        return deaths == 1 and not call.work.once_only
+
+    def _check_suspect(self, call):
+        """Return the refusal of a suspect, if any, and whether it runs alone."""
+        if not len(self._context.quarantine):
+            return "", False
+        fingerprint = make_fingerprint(call)
+        now = time.monotonic()
+        if self._context.quarantine.is_refused(
+            now=now, fingerprint=fingerprint, once_only=call.work.once_only
+        ):
+            return "quarantined", False
+        if not self._context.quarantine.count_deaths(now=now, fingerprint=fingerprint):
+            return "", False
+        names = self._context.get_router(call.service).endpoints
+        chosen = choose_suspect_instance(fingerprint, names)
+        is_chosen = chosen in (None, self._context.settings.instance)
+        return ("", True) if is_chosen else ("suspect", False)
+
+    def _call_backend(self, call, cancellation):
+        token = self._context.held.hold(call)
+        try:
+            response = self._context.backend.call(
+                method=call.method,
+                target=call.target,
+                headers=calls.make_backend_headers(call, token),
+                body=call.body,
+                timeout=call.left,
+                cancellation=cancellation,
+            )
+        except backend.BackendError as error:
+            return self._convert_error(error, cancellation)
+        finally:
+            self._context.held.drop(token)
+        return self._convert_response(response)
+
+    def _convert_error(self, error, cancellation):
+        reason = "timeout" if cancellation.is_cancelled else error.reason
+        sent = outcomes.Outcome.UNKNOWN if error.sent else outcomes.Outcome.NOT_RUN
+        return messages.refuse(reason, outcome=sent)
+
+    def _convert_response(self, response):
+        """A backend server may say itself that it did not run the call."""
+        outcome = outcomes.Outcome.DONE
+        for key, value in response.headers:
+            if key.lower() == messages.OUTCOME_HEADER.lower() and value == b"not-run":
+                outcome = outcomes.Outcome.NOT_RUN
+        return messages.Answer(response=response, outcome=outcome)
+
+    def _judge(self, call, answer, alone):
+        if answer.reason in DEATH_REASONS:
+            self._record_death(call)
+        elif alone and answer.outcome is outcomes.Outcome.DONE:
+            fingerprint = make_fingerprint(call)
+            self._context.quarantine.clear(fingerprint=fingerprint)
+            self._context.trail.record(
+                "quarantine", cause="a suspect ran", before="suspect", after="cleared"
+            )
+
+    def _record_death(self, call):
+        fingerprint = make_fingerprint(call)
+        deaths = self._context.quarantine.record_death(
+            now=time.monotonic(), fingerprint=fingerprint
+        )
+        self._context.trail.record(
+            "quarantine",
+            cause="a backend server died with the call in flight",
+            before=deaths - 1,
+            after=deaths,
+        )
+        logger.warning("local: a backend server died; deaths %d.", deaths)
+        self._announce(fingerprint, deaths)
+
+
+def make_fingerprint(call):
+    """Return the fingerprint of a call."""
+    return quarantine.fingerprint(
+        service=call.service,
+        method=call.method,
+        target=call.target,
+        key=call.key,
+        body=call.body,
+    )
+
+
+def choose_suspect_instance(fingerprint, names):
+    """Return the one instance that may run a suspect, or ``None``."""
+    order = rendezvous.order(fingerprint, names)
+    return order[0] if order else None
+
+
+def _is_shed(answer):
+    if answer is None or answer.reason in DEATH_REASONS:
+        return True
+    return answer.response.status in SHEDDING_STATUSES or answer.reason == "timeout"
--- /dev/null
+++ b/src/jackdawlanding/daemon/messages.py
@@ -0,0 +1,205 @@
+"""HTTP requests, responses and answers as the daemon's parts pass them on."""
+
+import http
+import json
+import random
+import typing
+
+from jackdawlanding.decisions import outcomes
+
+PREFIX = b"jackdaw-"
+CALL_HEADER = b"Jackdaw-Call"
+DEADLINE_HEADER = b"Jackdaw-Deadline-Ms"
+RANK_HEADER = b"Jackdaw-Rank"
+ALLOWANCE_HEADER = b"Jackdaw-Allowance"
+CALLER_HEADER = b"Jackdaw-Caller"
+OUTCOME_HEADER = b"Jackdaw-Outcome"
+REASON_HEADER = b"Jackdaw-Reason"
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+RETRY_AFTER_SECONDS = (1, 4)
+
+
+class Request(typing.NamedTuple):
+    """A whole HTTP request. ``headers`` holds pairs of bytes."""
+
+    method: str
+    target: str
+    headers: tuple
+    body: bytes
+    keep_alive: bool = True
+    peer: str = ""
+
+    def find(self, name):
+        """Return the text of the first header ``name`` (lower-case bytes), or ''."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value.decode("latin-1")
+        return ""
+
+
+class Response(typing.NamedTuple):
+    """A whole HTTP response. ``headers`` holds pairs of bytes."""
+
+    status: int
+    headers: tuple
+    body: bytes
+
+
+class Answer(typing.NamedTuple):
+    """What became of a call: a response, its outcome and, if refused, why.
+
+    ``retried`` says that the hop next to a failure has had its retries.
+    ``vouched`` says that the pair of a once-only key gave the outcome, which
+    then holds for the key and not for this attempt alone.
+    """
+
+    response: Response
+    outcome: outcomes.Outcome
+    reason: str = ""
+    retried: bool = False
+    vouched: bool = False
+
+    @property
+    def is_refusal(self):
+        """Whether the system itself answered, not a backend server."""
+        return bool(self.reason)
+
+
+class Refusal(typing.NamedTuple):
+    """A kind of refusal: status, title and what the caller can do."""
+
+    status: int
+    title: str
+    remedy: str
+
+
+REFUSALS = {
+    "over-limit": Refusal(503, "The service is over its limit", "Try again later."),
+    "too-late": Refusal(503, "The deadline cannot be met", "Try again later."),
+    "leaving": Refusal(503, "This instance is leaving", "Try another instance."),
+    "no-instance": Refusal(503, "No instance can take the call", "Try again later."),
+    "unreachable": Refusal(502, "The backend server is unreachable", "Try again."),
+    "peer-lost": Refusal(502, "The answer was lost on its way", "Ask for its state."),
+    "cut-short": Refusal(502, "The answer was cut short", "Ask for its state."),
+    "died": Refusal(502, "The backend server died", "Ask for its state."),
+    "timeout": Refusal(504, "No answer before the deadline", "Ask for its state."),
+    "key-missing": Refusal(400, "This work needs a key", "Send the declared header."),
+    "key-too-old": Refusal(400, "The key is older than its horizon", "Use a new key."),
+    "already-ran": Refusal(409, "An earlier attempt ran", "Do not send it again."),
+    "attempt-running": Refusal(409, "An earlier attempt runs", "Wait for its answer."),
+    "attempt-unknown": Refusal(
+        409, "An earlier attempt may have run", "Ask for its state."
+    ),
+    "not-established": Refusal(
+        503,
+        "This attempt was not run; an earlier one may have been",
+        "Send it again with the same key.",
+    ),
+    "keys-full": Refusal(503, "No room for another key", "Try again later."),
+    "suspect": Refusal(
+        503, "This request was there when a backend server died", "Try again later."
+    ),
+    "quarantined": Refusal(
+        503, "This request crashed backend servers", "Do not send it again."
+    ),
+    "repeated": Refusal(429, "The same request is repeated", "Wait and try again."),
+    "undeclared-service": Refusal(
+        502, "The service is not declared", "Declare it in calls and publish."
+    ),
+    "internal": Refusal(500, "The daemon failed", "Report it."),
+}
+
+
+def refuse(reason, *, outcome=outcomes.Outcome.NOT_RUN, detail=""):
+    """Return the answer for a refusal of a known kind."""
+    kind = REFUSALS[reason]
+    document = {
+        "type": f"urn:jackdawlanding:refusal:{reason}",
+        "title": kind.title,
+        "status": kind.status,
+        "outcome": outcome.label,
+        "detail": detail or kind.remedy,
+    }
+    headers = [
+        (b"Content-Type", b"application/problem+json"),
+        (OUTCOME_HEADER, outcome.label.encode()),
+        (REASON_HEADER, reason.encode()),
+    ]
+    if kind.status in (429, 503):
+        wait = random.randint(*RETRY_AFTER_SECONDS)
+        headers.append((b"Retry-After", str(wait).encode()))
+    response = Response(
+        status=kind.status,
+        headers=tuple(headers),
+        body=json.dumps(document).encode(),
+    )
+    return Answer(response=response, outcome=outcome, reason=reason)
+
+
+def clean(headers):
+    """Return ``headers`` without hop-by-hop headers and headers of our own."""
+    return tuple(
+        (key, value)
+        for key, value in headers
+        if key.lower() not in HOP_BY_HOP and not key.lower().startswith(PREFIX)
+    )
+
+
+def clean_answer(headers):
+    """Return a backend server's headers without hop-by-hop headers.
+
+    Its own outcome header stays: a backend server says by it what it refused.
+    """
+    return tuple(
+        (key, value) for key, value in headers if key.lower() not in HOP_BY_HOP
+    )
+
+
+def pack(headers):
+    """Pack header pairs into one run of bytes."""
+    return b"\r\n".join(key + b": " + value for key, value in headers)
+
+
+def unpack(data):
+    """Unpack what :func:`pack` made."""
+    if not data:
+        return ()
+    pairs = (line.partition(b": ") for line in data.split(b"\r\n"))
+    return tuple((key, value) for key, _, value in pairs)
+
+
+def format_request(*, method, target, headers, body):
+    """Return the bytes of an HTTP/1.1 request with a framed body."""
+    lines = [f"{method} {target} HTTP/1.1".encode("latin-1"), pack(headers)]
+    if body or method in ("POST", "PUT", "PATCH"):
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(line for line in lines if line) + b"\r\n\r\n" + body
+
+
+def format_response(response, *, keep_alive, head_only=False):
+    """Return the bytes of an HTTP/1.1 response with a framed body."""
+    try:
+        phrase = http.HTTPStatus(response.status).phrase
+    except ValueError:
+        phrase = "Unknown"
+    lines = [f"HTTP/1.1 {response.status} {phrase}".encode(), pack(response.headers)]
+    if response.status not in (204, 304):
+        lines.append(b"Content-Length: %d" % len(response.body))
+    if not keep_alive:
+        lines.append(b"Connection: close")
+    head = b"\r\n".join(line for line in lines if line) + b"\r\n\r\n"
+    return head if head_only else head + response.body
--- /dev/null
+++ b/src/jackdawlanding/daemon/onceonly.py
@@ -0,0 +1,194 @@
+"""Once-only calls: entry, witness and owner, each remembering the key."""
+
+import collections
+import concurrent.futures
+import logging
+import threading
+import time
+
+from jackdawlanding.daemon import dispatch, messages
+from jackdawlanding.decisions import keys, outcomes, ownership
+
+logger = logging.getLogger("jackdaw.onceonly")
+
+MAXIMUM_KEPT_BYTES = 1 << 20
+MAXIMUM_KEPT_ANSWER_BYTES = 8192
+DEFAULT_HORIZON_SECONDS = 900.0
+
+# Whether an attempt ran, as the ledger takes it.
+RAN = {
+    outcomes.Outcome.NOT_RUN: False,
+    outcomes.Outcome.DONE: True,
+    outcomes.Outcome.UNKNOWN: None,
+}
+SEEN_REFUSALS = {
+    keys.State.RUNNING: ("attempt-running", outcomes.Outcome.UNKNOWN),
+    keys.State.UNKNOWN: ("attempt-unknown", outcomes.Outcome.UNKNOWN),
+    keys.State.DONE: ("already-ran", outcomes.Outcome.DONE),
+}
+
+
+class KeptAnswers:
+    """Small answers of once-only calls, for callers that lost theirs."""
+
+    def __init__(self):
+        self._answers = collections.OrderedDict()
+        self._size = 0
+
+    def get(self, key):
+        """Return the answer kept for a key's digest, or ``None``."""
+        return self._answers.get(key)
+
+    def put(self, key, answer):
+        """Keep an answer if it is small; drop the oldest over the bound."""
+        size = len(answer.response.body)
+        if size > MAXIMUM_KEPT_ANSWER_BYTES or key in self._answers:
+            return
+        self._answers[key] = answer
+        self._size += size
+        while self._size > MAXIMUM_KEPT_BYTES:
+            _, dropped = self._answers.popitem(last=False)
+            self._size -= len(dropped.response.body)
+
+
+class OnceOnly:
+    """This daemon's part in its service's once-only calls.
+
+    :param context: the daemon's :class:`context.Context`.
+    :param runner: a :class:`local.LocalRunner`.
+    :param send_to: see :meth:`dispatch.Dispatcher.send_to`.
+    :param find_address: returns the peer address of a member, or ''.
+    """
+
+    def __init__(self, *, context, runner, send_to, find_address):
+        self._context = context
+        self._runner = runner
+        self._send_to = send_to
+        self._find_address = find_address
+        self._running = {}
+        self._kept = KeptAnswers()
+        self.lock = threading.Lock()
+        self.ledger = keys.KeyLedger(
+            horizon=DEFAULT_HORIZON_SECONDS,
+            capacity=context.settings.key_capacity,
+        )
+        self.ownership = ownership.Ownership(
+            me=context.roster.me,
+            horizon=DEFAULT_HORIZON_SECONDS,
+            fresh_seconds=context.settings.fresh_seconds,
+        )
+
+    def start(self, call):
+        """Bring a call to its pair: this daemon is only its entry."""
+        refusal = self._check_key(call)
+        if refusal:
+            return refusal
+        with self.lock:
+            pair = self.ownership.choose_pair(self._digest(call))
+        owner, witness = pair
+        if owner is None:
+            return messages.refuse("not-established")
+        if witness is None or witness == self.ownership.me:
+            return self.attempt(call, pair)
+        address = self._find_address(witness)
+        answer, _ = self._send_to(
+            call,
+            address=address,
+            role=dispatch.ROLE_WITNESS,
+            pair=pair,
+            share=call.allowance.take_share(),
+        )
+        return answer
+
+    def attempt(self, call, pair):
+        """Take a call as its witness or owner, once for its key."""
+        key = self._digest(call)
+        made_at = keys.read_time(call.key)
+        now = time.monotonic()
+        with self.lock:
+            held = self.ledger.get(now=now, key=key)
+            running = self._running.get(key)
+            if held is None:
+                refusal = self._check_role(now, key, pair, made_at)
+                if refusal:
+                    return refusal
+                self.ledger.begin(now=now, key=key)
+                running = self._running[key] = concurrent.futures.Future()
+        if held is not None:
+            return self._answer_seen(call, key, held, running)
+        return self._run_attempt(call, key, pair, running)
+
+    def set_horizon(self, seconds):
+        """Put the declared repeat horizon in force."""
+        with self.lock:
+            self.ledger.horizon = seconds
+            self.ownership.horizon = seconds
+
+    def _run_attempt(self, call, key, pair, running):
+        answer = messages.refuse("internal", outcome=outcomes.Outcome.UNKNOWN)
+        try:
+            answer = self._run(call, pair)._replace(vouched=True)
+        finally:
+            with self.lock:
+                self.ledger.finish(
+                    now=time.monotonic(), key=key, ran=RAN[answer.outcome]
+                )
+                if answer.outcome is outcomes.Outcome.DONE and not answer.reason:
+                    self._kept.put(key, answer)
+                del self._running[key]
+            running.set_result(answer)
+        return answer
+
+    def _run(self, call, pair):
+        owner, _ = pair
+        if owner == self.ownership.me:
+            return self._runner.run(call)
+        answer, message = self._send_to(
+            call,
+            address=self._find_address(owner),
+            role=dispatch.ROLE_OWN,
+            pair=pair,
+            share=call.allowance.take_share(),
+        )
+        # An owner that answers holds the key too; one that never got the call
+        # leaves this witness alone to vouch that nothing ran.
+        return answer
+
+    def _check_key(self, call):
+        if not call.key:
+            return messages.refuse(
+                "key-missing", detail=f"Send the header {call.work.key_header}."
+            )
+        made_at = keys.read_time(call.key)
+        if made_at is not None and time.time() - made_at > self.ledger.horizon:
+            return messages.refuse("key-too-old", outcome=outcomes.Outcome.UNKNOWN)
+        return None
+
+    def _check_role(self, now, key, pair, made_at):
+        if not self.ownership.may_act(now=now, key=key, pair=pair, made_at=made_at):
+            self._context.metrics.count("not_established")
+            return messages.refuse("not-established")
+        if not self.ledger.has_room(now=now):
+            return messages.refuse("keys-full")
+        return None
+
+    def _answer_seen(self, call, key, held, running):
+        if running is not None:
+            return self._join(call, running)
+        kept = self._kept.get(key)
+        if kept is not None:
+            return kept
+        reason, outcome = SEEN_REFUSALS[held.state]
+        return messages.refuse(reason, outcome=outcome)._replace(vouched=True)
+
+    def _join(self, call, running):
+        self._context.metrics.count("joined")
+        try:
+            return running.result(timeout=max(0.0, call.left))
+        except concurrent.futures.TimeoutError:
+            return messages.refuse("attempt-running", outcome=outcomes.Outcome.UNKNOWN)
+
+    def _digest(self, call):
+        declaration = self._context.declaration
+        has_caller = bool(declaration and declaration.caller.header)
+        return dispatch.digest_key(call, has_caller=has_caller)
--- /dev/null
+++ b/src/jackdawlanding/daemon/peers.py
@@ -0,0 +1,384 @@
+"""Connections between daemons: many calls in flight, answers in any order.
+
+A thread that waits for an answer reads the connection itself if no other does,
+so that the common case hands nothing from one thread to another.
+"""
+
+import contextlib
+import itertools
+import logging
+import select
+import socket
+import threading
+import time
+import typing
+
+from jackdawlanding.daemon import reactor
+from jackdawlanding.wire import codec, framing
+
+logger = logging.getLogger("jackdaw.peers")
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+WRITE_TIMEOUT_SECONDS = 5.0
+FOLLOWER_CHECK_SECONDS = 0.25
+MAXIMUM_CALLS_A_CONNECTION = 1024
+READ_BYTES = 65536
+
+
+class PeerError(Exception):
+    """A call to a peer that gave no answer.
+
+    :param reason: ``unreachable``, ``peer-lost`` or ``timeout``.
+    :param sent: whether any byte of it may have reached the peer.
+    """
+
+    def __init__(self, *, reason, sent):
+        super().__init__(reason)
+        self.reason = reason
+        self.sent = sent
+
+
+class Reply(typing.NamedTuple):
+    """A decoded answer or sync message and its raw body."""
+
+    message: typing.Any
+    body: bytes
+
+
+class _Waiter:
+    __slots__ = ("error", "event", "reply")
+
+    def __init__(self):
+        self.event = threading.Event()
+        self.reply = None
+        self.error = None
+
+    @property
+    def is_done(self):
+        return self.reply is not None or self.error is not None
+
+
+_DECODERS = {
+    framing.Kind.ANSWER: codec.decode_answer,
+    framing.Kind.SYNCED: codec.decode_sync,
+}
+
+
+class PeerConnection:
+    """The calling side of a connection to one peer.
+
+    :param address: a pair of host and port.
+    """
+
+    def __init__(self, *, address):
+        self.address = address
+        self.is_lost = False
+        self._numbers = itertools.count(1)
+        self._pending = {}
+        self._splitter = framing.Splitter()
+        self._write_lock = threading.Lock()
+        self._read_lock = threading.Lock()
+        self._sock = self._connect()
+        self._poll = select.poll()
+        self._poll.register(self._sock, select.POLLIN)
+
+    def request(self, *, kind, encode, body=b"", timeout):
+        """Send one message and wait for its answer.
+
+        :param encode: called with the message's id, returns its bytes.
+        :param timeout: seconds to wait.
+        :raises PeerError: there is no answer.
+        """
+        end = time.monotonic() + timeout
+        number = next(self._numbers)
+        waiter = _Waiter()
+        self._pending[number] = waiter
+        try:
+            self._send(framing.join(kind=kind, message=encode(number), body=body))
+            self._wait(waiter, number, end)
+        finally:
+            self._pending.pop(number, None)
+        if waiter.error:
+            raise waiter.error
+        return waiter.reply
+
+    def is_stale(self):
+        """Return whether the peer has closed this connection while it was idle."""
+        if self.is_lost:
+            return True
+        if self._pending or not self._read_lock.acquire(blocking=False):
+            return False
+        try:
+            stale = framing.is_closed(self._sock)
+        finally:
+            self._read_lock.release()
+        if stale:
+            self._lose()
+        return stale
+
+    def close(self):
+        """Close the connection; calls in flight fail as lost."""
+        self._lose()
+
+    def _connect(self):
+        try:
+            sock = socket.create_connection(
+                self.address, timeout=CONNECT_TIMEOUT_SECONDS
+            )
+        except OSError:
+            raise PeerError(reason="unreachable", sent=False) from None
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(WRITE_TIMEOUT_SECONDS)
+        return sock
+
+    def _send(self, data):
+        with self._write_lock:
+            if self.is_lost:
+                raise PeerError(reason="unreachable", sent=False)
+            try:
+                self._sock.sendall(data)
+            except OSError:
+                self._lose()
+                raise PeerError(reason="peer-lost", sent=True) from None
+
+    def _wait(self, waiter, number, end):
+        while not waiter.is_done:
+            left = end - time.monotonic()
+            if left <= 0:
+                self._cancel(number)
+                raise PeerError(reason="timeout", sent=True)
+            if self._read_lock.acquire(blocking=False):
+                try:
+                    self._read_until(waiter, end)
+                finally:
+                    self._read_lock.release()
+                    self._wake_follower()
+            else:
+                waiter.event.wait(min(left, FOLLOWER_CHECK_SECONDS))
+                waiter.event.clear()
+
+    def _read_until(self, waiter, end):
+        while not waiter.is_done:
+            left = end - time.monotonic()
+            if left <= 0 or not self._poll.poll(left * 1000):
+                return
+            try:
+                data = self._sock.recv(READ_BYTES)
+                self._splitter.feed(data)
+                self._dispatch()
+            except (OSError, framing.FrameError, codec.MessageError):
+                data = b""
+            if not data:
+                self._lose()
+                return
+
+    def _dispatch(self):
+        while frame := self._splitter.take():
+            decode = _DECODERS.get(frame.kind)
+            if not decode:
+                raise framing.FrameError(f"frame kind {frame.kind} is no answer")
+            message = decode(frame.message)
+            waiter = self._pending.pop(message.id, None)
+            # An answer that nobody waits for any more is dropped here.
+            if waiter:
+                waiter.reply = Reply(message=message, body=frame.body)
+                waiter.event.set()
+
+    def _wake_follower(self):
+        for waiter in list(self._pending.values()):
+            if not waiter.is_done:
+                waiter.event.set()
+                return
+
+    def _cancel(self, number):
+        message = codec.encode_cancel(codec.CancelMessage(id=number))
+        try:
+            self._send(framing.join(kind=framing.Kind.CANCEL, message=message))
+        except PeerError:
+            return
+
+    def _lose(self):
+        self.is_lost = True
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+        self._sock.close()
+        for waiter in list(self._pending.values()):
+            if not waiter.is_done:
+                waiter.error = PeerError(reason="peer-lost", sent=True)
+                waiter.event.set()
+
+
+class PeerPool:
+    """One kept connection to each peer.
+
+    :param allows: called with an address; a false result makes the peer
+        unreachable. Tests cut links by it.
+    """
+
+    def __init__(self, *, allows=None):
+        self._allows = allows or (lambda address: True)
+        self._connections = {}
+        self._lock = threading.Lock()
+        self.bytes_sent = 0
+
+    def request(self, *, address, kind, encode, body=b"", timeout):
+        """Send one message to the peer at ``address``; see ``PeerConnection``."""
+        if not self._allows(address):
+            raise PeerError(reason="unreachable", sent=False)
+        connection = self._get(address)
+        return connection.request(kind=kind, encode=encode, body=body, timeout=timeout)
+
+    def keep(self, addresses):
+        """Close connections to peers outside ``addresses``."""
+        with self._lock:
+            dropped = [
+                self._connections.pop(address)
+                for address in list(self._connections)
+                if address not in addresses
+            ]
+        for connection in dropped:
+            connection.close()
+
+    def close(self):
+        """Close all connections."""
+        self.keep(())
+
+    def _get(self, address):
+        connection = self._connections.get(address)
+        if connection and not connection.is_stale():
+            return connection
+        with self._lock:
+            connection = self._connections.get(address)
+            if connection and not connection.is_lost:
+                return connection
+            host, _, port = address.rpartition(":")
+            connection = PeerConnection(address=(host, int(port)))
+            self._connections[address] = connection
+            return connection
+
+
+class Cancellation:
+    """Lets a call be given up from another thread."""
+
+    def __init__(self):
+        self.is_cancelled = False
+        self._sock = None
+        self._lock = threading.Lock()
+
+    def attach(self, sock):
+        """Say which socket the call waits on, or ``None``."""
+        with self._lock:
+            self._sock = sock
+
+    def cancel(self):
+        """Give the call up: shut the socket that it waits on."""
+        with self._lock:
+            self.is_cancelled = True
+            sock, self._sock = self._sock, None
+        if sock:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                return
+
+
+class PeerHandler:
+    """The answering side of a connection from one peer, for a reactor.
+
+    :param serve_call: called with a call message, its body and a
+        :class:`Cancellation`; returns an answer message and a body.
+    :param serve_sync: called with a sync message and its body; returns the same.
+    """
+
+    def __init__(self, *, sock, watcher, serve_call, serve_sync, note_closed):
+        self.sock = sock
+        self._watcher = watcher
+        self._serve_call = serve_call
+        self._serve_sync = serve_sync
+        self._note_closed = note_closed
+        self._splitter = framing.Splitter()
+        self._write_lock = threading.Lock()
+        self._running = {}
+        self._closed = False
+        sock.settimeout(WRITE_TIMEOUT_SECONDS)
+
+    def on_readable(self):
+        """Read frames; serve the last on this thread, the others on spare ones."""
+        data = self.sock.recv(READ_BYTES)
+        if not data:
+            return reactor.Next.CLOSE
+        try:
+            self._splitter.feed(data)
+            calls = self._take_calls()
+        except (framing.FrameError, codec.MessageError) as error:
+            logger.warning("peers: a connection was closed: %s.", error)
+            return reactor.Next.CLOSE
+        if not calls:
+            return reactor.Next.WATCH
+        for serve, message, body in calls[:-1]:
+            self._watcher.spawn(serve, message, body)
+        # Watched again before serving: other frames must not wait for this one.
+        self._watcher.rearm(self)
+        serve, message, body = calls[-1]
+        serve(message, body)
+        return reactor.Next.LEAVE
+
+    def is_overdue(self, now):
+        """Return whether to close; an idle peer connection never is."""
+        return False
+
+    def on_overdue(self):
+        """Do nothing."""
+
+    def close(self):
+        """Close the socket and give up what runs for it."""
+        if self._closed:
+            return
+        self._closed = True
+        self.sock.close()
+        self._note_closed()
+
+    def _take_calls(self):
+        calls = []
+        while frame := self._splitter.take():
+            if frame.kind == framing.Kind.CALL:
+                message = codec.decode_call(frame.message)
+                calls.append((self._answer_call, message, frame.body))
+            elif frame.kind == framing.Kind.SYNC:
+                message = codec.decode_sync(frame.message)
+                calls.append((self._answer_sync, message, frame.body))
+            elif frame.kind == framing.Kind.CANCEL:
+                self._cancel(codec.decode_cancel(frame.message))
+            else:
+                raise framing.FrameError(f"frame kind {frame.kind} is no request")
+        return calls
+
+    def _cancel(self, message):
+        cancellation = self._running.get(message.id)
+        if cancellation:
+            cancellation.cancel()
+
+    def _answer_call(self, message, body):
+        if len(self._running) >= MAXIMUM_CALLS_A_CONNECTION:
+            answer = codec.AnswerMessage(id=message.id, status=503, reason="over-limit")
+            self._send(framing.Kind.ANSWER, codec.encode_answer(answer), b"")
+            return
+        cancellation = Cancellation()
+        self._running[message.id] = cancellation
+        try:
+            answer, answer_body = self._serve_call(message, body, cancellation)
+        finally:
+            self._running.pop(message.id, None)
+        self._send(framing.Kind.ANSWER, codec.encode_answer(answer), answer_body)
+
+    def _answer_sync(self, message, body):
+        answer, answer_body = self._serve_sync(message, body)
+        self._send(framing.Kind.SYNCED, codec.encode_sync(answer), answer_body)
+
+    def _send(self, kind, message, body):
+        data = framing.join(kind=kind, message=message, body=body)
+        with self._write_lock:
+            try:
+                self.sock.sendall(data)
+            except OSError:
+                logger.info("peers: an answer found its connection closed.")
--- /dev/null
+++ b/src/jackdawlanding/decisions/admission.py
@@ -0,0 +1,263 @@
+"""Admission at one backend server: an adaptive limit and an ordered queue.
+
+Calls wait by rank, then by how much their caller already has, then newest
+first once the queue is long (an old entry is most likely dead). Between
+protected ranks and all others the order is strict: a protected call is never
+shed while one below it is admitted. Unprotected ranks may have floors.
+"""
+
+import collections
+import enum
+import itertools
+import typing
+
+from jackdawlanding.decisions import limits
+
+NEWEST_FIRST_SHARE = 0.5
+ADMITS_ALL = 255
+THRESHOLD_HOLD_SECONDS = 1.0
+
+
+class Verdict(enum.Enum):
+    """What becomes of an offered call."""
+
+    ADMITTED = "admitted"
+    QUEUED = "queued"
+    OVER_LIMIT = "over-limit"
+    TOO_LATE = "too-late"
+
+
+class Entry:
+    """One call offered to a gate.
+
+    :param work: its declared work.
+    :param caller: whose it is, for fair shares.
+    :param deadline: seconds on the gate's clock.
+    :param token: anything of the embedder's own.
+    """
+
+    __slots__ = ("admitted_at", "caller", "deadline", "offered_at", "token", "work")
+
+    def __init__(self, *, work, caller, deadline, token=None):
+        self.work = work
+        self.caller = caller
+        self.deadline = deadline
+        self.token = token
+        self.offered_at = 0.0
+        self.admitted_at = 0.0
+
+
+class Change(typing.NamedTuple):
+    """What an event did: its own verdict, and entries that no longer wait.
+
+    ``shed`` were over the limit; ``late`` can't be answered in time.
+    """
+
+    verdict: Verdict | None
+    admitted: tuple = ()
+    shed: tuple = ()
+    late: tuple = ()
+
+
+class Gate:
+    """Decides which calls run at a backend server, and in what order.
+
+    :param limit: an :class:`limits.AdaptiveLimit`.
+    :param queue_length: most calls that may wait.
+    """
+
+    def __init__(self, *, limit, queue_length):
+        self.limit = limit
+        self.queue_length = queue_length
+        self.in_flight = 0
+        self._queue = []
+        self._held = collections.Counter()
+        self._floor_credit = collections.Counter()
+        self._service_times = {}
+        self._shed_rank = ADMITS_ALL
+        self._shed_at = float("-inf")
+        self._numbers = itertools.count()
+
+    @property
+    def queued(self):
+        """How many calls wait."""
+        return len(self._queue)
+
+    def threshold(self, *, now):
+        """Return the lowest rank admitted, or :data:`ADMITS_ALL`."""
+        if now - self._shed_at > THRESHOLD_HOLD_SECONDS:
+            return ADMITS_ALL
+        return self._shed_rank
+
+    def offer(self, *, now, entry):
+        """Decide on a new call.
+
+        :returns: a :class:`Change`; queued entries come back later, as
+            ``admitted``, ``shed`` or ``late`` of another change.
+        """
+        entry.offered_at = now
+        late = self._expire(now)
+        if self._is_too_late(now, entry):
+            return Change(verdict=Verdict.TOO_LATE, late=late)
+        if self._has_room() and not self._queue:
+            self._admit(now, entry)
+            return Change(verdict=Verdict.ADMITTED, late=late)
+        self._queue.append(entry)
+        admitted = self._fill(now)
+        shed = self._trim(now)
+        return Change(
+            verdict=self._verdict_of(entry, admitted, shed),
+            admitted=tuple(one for one in admitted if one is not entry),
+            shed=tuple(one for one in shed if one is not entry),
+            late=late,
+        )
+
+    def release(self, *, now, entry, shed=False):
+        """Record that an admitted call has ended; admit others.
+
+        :param shed: whether the backend server refused it or broke off.
+        """
+        latency = now - entry.admitted_at
+        self.limit.record(
+            now=now,
+            latency=latency,
+            in_flight=self.in_flight,
+            shed=shed,
+            kind=entry.work.name,
+        )
+        self._learn_service_time(entry.work.name, latency)
+        self.in_flight -= 1
+        self._forget_holding(entry)
+        late = self._expire(now)
+        return Change(verdict=None, admitted=self._fill(now), late=late)
+
+    def withdraw(self, *, now, entry):
+        """Take a waiting call back; return whether it was still waiting."""
+        if entry not in self._queue:
+            return False
+        self._queue.remove(entry)
+        return True
+
+    def tick(self, *, now):
+        """Drop entries that can't be answered in time; admit others."""
+        late = self._expire(now)
+        return Change(verdict=None, admitted=self._fill(now), late=late)
+
+    def _verdict_of(self, entry, admitted, shed):
+        if entry in admitted:
+            return Verdict.ADMITTED
+        if entry in shed:
+            return Verdict.OVER_LIMIT
+        return Verdict.QUEUED
+
+    def _has_room(self):
+        return self.in_flight < self.limit.limit
+
+    def _admit(self, now, entry):
+        entry.admitted_at = now
+        self.in_flight += 1
+        self._held[entry.caller] += 1
+
+    def _forget_holding(self, entry):
+        self._held[entry.caller] -= 1
+        if self._held[entry.caller] <= 0:
+            del self._held[entry.caller]
+
+    def _fill(self, now):
+        admitted = []
+        while self._queue and self._has_room():
+            entry = self._choose_next()
+            self._queue.remove(entry)
+            self._admit(now, entry)
+            admitted.append(entry)
+        return tuple(admitted)
+
+    def _choose_next(self):
+        best = min(self._queue, key=self._urgency())
+        if best.work.protected:
+            return best
+        return self._choose_by_floor(best)
+
+    def _choose_by_floor(self, best):
+        """Let an unprotected rank with a floor pass once its credit is whole."""
+        waiting = {}
+        for entry in self._queue:
+            floor = entry.work.floor
+            if floor > 0 and not entry.work.protected:
+                waiting.setdefault(entry.work.rank, floor)
+        for rank, floor in waiting.items():
+            self._floor_credit[rank] = min(2.0, self._floor_credit[rank] + floor)
+        due = [rank for rank in waiting if self._floor_credit[rank] >= 1.0]
+        if not due or best.work.rank in due:
+            self._floor_credit[best.work.rank] = 0.0
+            return best
+        rank = max(due)
+        self._floor_credit[rank] -= 1.0
+        own = [one for one in self._queue if one.work.rank == rank]
+        return min(own, key=self._urgency())
+
+    def _urgency(self):
+        """Return the sort key of waiting entries, most urgent first."""
+        newest_first = len(self._queue) > self.queue_length * NEWEST_FIRST_SHARE
+        sign = -1.0 if newest_first else 1.0
+        held = self._held
+
+        def measure(entry):
+            work = entry.work
+            return (
+                not work.protected,
+                work.rank,
+                held[entry.caller],
+                sign * entry.offered_at,
+            )
+
+        return measure
+
+    def _trim(self, now):
+        shed = []
+        while len(self._queue) > self.queue_length:
+            victim = self._choose_victim()
+            self._queue.remove(victim)
+            shed.append(victim)
+            self._note_shed(now, victim)
+        return tuple(shed)
+
+    def _choose_victim(self):
+        """Choose the least urgent rank's entry of its most present caller."""
+        lowest = max((not one.work.protected, one.work.rank) for one in self._queue)
+        own = [
+            one
+            for one in self._queue
+            if (not one.work.protected, one.work.rank) == lowest
+        ]
+        present = collections.Counter(one.caller for one in own)
+        return max(
+            own,
+            key=lambda one: present[one.caller] + self._held[one.caller],
+        )
+
+    def _note_shed(self, now, victim):
+        rank = victim.work.rank
+        stale = now - self._shed_at > THRESHOLD_HOLD_SECONDS
+        self._shed_rank = rank if stale else min(self._shed_rank, rank)
+        self._shed_at = now
+
+    def _expire(self, now):
+        late = tuple(one for one in self._queue if self._is_too_late(now, one))
+        for entry in late:
+            self._queue.remove(entry)
+        return late
+
+    def _is_too_late(self, now, entry):
+        return now + self._service_times.get(entry.work.name, 0.0) >= entry.deadline
+
+    def _learn_service_time(self, name, latency):
+        """Keep half of a low estimate: a call that might make it may try."""
+        known = self._service_times.get(name, latency / 2)
+        self._service_times[name] = known + 0.1 * (latency / 2 - known)
+
+
+def make_gate(*, minimum, maximum, queue_length, initial=None):
+    """Return a gate with an adaptive limit between two bounds."""
+    limit = limits.AdaptiveLimit(minimum=minimum, maximum=maximum, initial=initial)
+    return Gate(limit=limit, queue_length=queue_length)
--- /dev/null
+++ b/src/jackdawlanding/decisions/rendezvous.py
@@ -0,0 +1,48 @@
+"""Rendezvous (highest random weight) hashing of keys over members.
+
+Source: Thaler and Ravishankar, "Using name-based mappings to increase hit
+rates", IEEE/ACM Transactions on Networking, 1998.
+"""
+
+import hashlib
+
+DIGEST_BYTES = 16
+
+
+def digest(*parts):
+    """Return a 16-byte digest of text parts; their borders count."""
+    state = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        data = part.encode()
+        state.update(len(data).to_bytes(4, "big"))
+        state.update(data)
+    return state.digest()
+
+
+def weigh(key, member):
+    """Return the weight of ``member`` (text) for ``key`` (bytes)."""
+    state = hashlib.blake2b(member.encode(), digest_size=8, key=key[:64])
+    return state.digest(), member
+
+
+def order(key, members):
+    """Return ``members`` with the heaviest for ``key`` first."""
+    return sorted(members, key=lambda member: weigh(key, member), reverse=True)
+
+
+def choose_pair(key, members):
+    """Return the owner and the witness of ``key``: the first two members.
+
+    The witness is ``None`` where there is only one member; both are ``None``
+    where there is none.
+    """
+    first = second = None
+    first_weight = second_weight = None
+    for member in members:
+        weight = weigh(key, member)
+        if first_weight is None or weight > first_weight:
+            second, second_weight = first, first_weight
+            first, first_weight = member, weight
+        elif second_weight is None or weight > second_weight:
+            second, second_weight = member, weight
+    return first, second
--- /dev/null
+++ b/src/jackdawlanding/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Declarations, publications and the daemon's own settings."""
--- /dev/null
+++ b/src/jackdawlanding/settings/addresses.py
@@ -0,0 +1,24 @@
+"""Addresses of sockets."""
+
+import typing
+
+
+class Address(typing.NamedTuple):
+    """An IP address or host name, and a port."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text):
+        """Parse ``host:port``.
+
+        :raises ValueError: the text has another form.
+        """
+        host, colon, port = text.rpartition(":")
+        if not colon or not host or not port.isdigit() or int(port) > 65535:
+            raise ValueError(f"{text!r} is not of the form host:port")
+        return cls(host=host.strip("[]"), port=int(port))
+
+    def __str__(self):
+        return f"{self.host}:{self.port}"
--- /dev/null
+++ b/src/jackdawlanding/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between daemons: Cap'n Proto in length-prefixed frames."""
