--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: load, overload, recovery, latency and slopes."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,87 @@
+"""The bench's command line."""
+
+import json
+import pathlib
+import sys
+import typing
+
+import typer
+
+from bench import deployments, overload
+from jackdawlanding import exceptions
+
+application = typer.Typer(
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    help="Experiments on this machine's loopback, bounded in count and time.",
+)
+DeploymentName = typing.Annotated[str, typer.Option(help="plovdiv or bolgatanga.")]
+Output = typing.Annotated[
+    pathlib.Path | None, typer.Option("--json", help="Also write results here.")
+]
+
+
+def _tell(mode, second, seconds):
+    print(f"\r{mode}: {second:>3} of {seconds:.0f} s ", end="", file=sys.stderr)
+
+
+def _run_modes(deployment, plan, output):
+    results = []
+    for mode in overload.MODES:
+        results.append(overload.run(deployment, plan, mode, progress=_tell))
+        print(file=sys.stderr)
+    print("\n".join(overload.format_table(results)))
+    if output:
+        data = [
+            {**one._asdict(), "flows": [flow._asdict() for flow in one.flows]}
+            for one in results
+        ]
+        output.parent.mkdir(parents=True, exist_ok=True)
+        output.write_text(json.dumps(data, indent=2) + "\n")
+    return results
+
+
+@application.command()
+def demo(deployment: DeploymentName = "plovdiv", output: Output = None):
+    """Flood a small deployment, with decisions and with a pass-through daemon."""
+    one = deployments.find(deployment)
+    print(f"{one.name}: a flood of {one.calm} at five times its rate, for 6 s")
+    _run_modes(one, overload.Plan(flow=one.calm), output)
+
+
+@application.command()
+def flood(
+    deployment: DeploymentName = "plovdiv",
+    factor: typing.Annotated[float, typer.Option(help="Multiple of the rate.")] = 10,
+    urgent: typing.Annotated[
+        bool, typer.Option(help="Flood the most urgent flow.")
+    ] = False,
+    output: Output = None,
+):
+    """Flood the least or the most urgent flow."""
+    one = deployments.find(deployment)
+    flow = one.urgent if urgent else one.calm
+    print(f"{one.name}: a flood of {flow} at {factor:g} times its rate")
+    _run_modes(one, overload.Plan(flow=flow, factor=factor), output)
+
+
+@application.command()
+def recover(deployment: DeploymentName = "plovdiv", output: Output = None):
+    """Slow the deep service tenfold for 5 s and watch goodput come back."""
+    one = deployments.find(deployment)
+    print(f"{one.name}: {one.deep} is ten times slower for 5 s")
+    plan = overload.Plan(before=5, trigger=5, after=10, factor=10, slows=True)
+    _run_modes(one, plan, output)
+
+
+def main():
+    """Run the command; show known errors in one line."""
+    try:
+        application()
+    except exceptions.JackdawError as error:
+        error.show()
+        sys.exit(error.exit_code)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/deployments.py
@@ -0,0 +1,164 @@
+"""Plans of the two deployments, scaled down to one machine."""
+
+import pathlib
+import typing
+
+from jackdawlanding import exceptions
+from jackdawlanding.emulator import caller, fleet
+from jackdawlanding.settings import declarations
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+INSTANCES = 3
+SLOTS = 4
+SERVICE_SECONDS = 0.03
+PLACES = (("r1", "a"), ("r1", "b"), ("r2", "c"))
+
+
+class Flow(typing.NamedTuple):
+    """One kind of work that callers bring, and its usual rate a second."""
+
+    name: str
+    service: str
+    rank: int
+    method: str
+    target: str
+    rate: float
+    has_key: bool = False
+    patience: float = 2.0
+
+
+class Deployment(typing.NamedTuple):
+    """A deployment: its services' inner calls and its callers' flows.
+
+    :param calm: the flow whose flood is the least urgent.
+    :param urgent: the flow whose flood is the most urgent.
+    :param deep: the service at the end of every chain.
+    """
+
+    name: str
+    inner: dict
+    flows: tuple
+    calm: str
+    urgent: str
+    deep: str
+
+
+def _post(name, service, rank, target, rate):
+    return Flow(name, service, rank, "POST", target, rate, has_key=True, patience=4.0)
+
+
+PLOVDIV = Deployment(
+    name="plovdiv",
+    inner={
+        "status-desk": (("awards", "/awards/1"),),
+        "payouts": (("awards", "/awards/1"),),
+        "revocations": (("awards", "/awards/1"),),
+        "awards": (),
+    },
+    flows=(
+        _post("payment-order", "payouts", 0, "/orders", 15.0),
+        _post("award-revocation", "revocations", 0, "/revocations", 10.0),
+        _post("scholarship-payout", "payouts", 1, "/payouts", 15.0),
+        Flow("status-check", "status-desk", 5, "GET", "/status/1", 120.0),
+    ),
+    calm="status-check",
+    urgent="payment-order",
+    deep="awards",
+)
+BOLGATANGA = Deployment(
+    name="bolgatanga",
+    inner={
+        "showroom": (("shipdesk", "/slots/1"),),
+        "weaverpay": (("shipdesk", "/slots/1"),),
+        "tradedesk": (("shipdesk", "/slots/1"),),
+        "shipdesk": (),
+    },
+    flows=(
+        _post("wholesale-order", "tradedesk", 0, "/orders", 15.0),
+        _post("weaver-payout", "weaverpay", 0, "/payouts", 10.0),
+        _post("export-invoice", "tradedesk", 1, "/invoices", 10.0),
+        Flow("stock-check", "showroom", 4, "GET", "/stock/1", 40.0),
+        Flow("catalogue-page", "showroom", 5, "GET", "/catalogue/1", 80.0),
+    ),
+    calm="catalogue-page",
+    urgent="wholesale-order",
+    deep="shipdesk",
+)
+DEPLOYMENTS = {one.name: one for one in (PLOVDIV, BOLGATANGA)}
+
+
+def find(name):
+    """Return a deployment by its name.
+
+    :raises exceptions.SettingError: there is none.
+    """
+    if name not in DEPLOYMENTS:
+        hint = exceptions.suggest(name, DEPLOYMENTS)
+        raise exceptions.SettingError(
+            flag="--deployment",
+            value=name,
+            problem=f"is not known{hint}",
+            remedy=f"use one of {', '.join(DEPLOYMENTS)}",
+        )
+    return DEPLOYMENTS[name]
+
+
+def load_declarations(name):
+    """Return the declarations of a deployment's services.
+
+    :raises exceptions.FaultsError: a file has faults.
+    """
+    loaded = {}
+    for path in sorted((EXAMPLES / name).glob("*.toml")):
+        result = declarations.parse(path.read_text(), file=str(path))
+        if result.is_error():
+            raise exceptions.FaultsError(faults=result.error)
+        loaded[result.ok.service] = result.ok
+    return loaded
+
+
+def make_fleet(deployment, *, pass_through=False, flags=(), **options):
+    """Return a fleet of a deployment's services, not yet started."""
+    declared = load_declarations(deployment.name)
+    plans = [
+        fleet.ServicePlan(
+            declaration=declared[service],
+            instances=INSTANCES,
+            slots=SLOTS,
+            service_seconds=SERVICE_SECONDS,
+            inner=inner,
+            places=PLACES,
+        )
+        for service, inner in deployment.inner.items()
+    ]
+    if pass_through:
+        flags = (*flags, "--pass-through")
+    return fleet.Fleet(plans=plans, flags=flags, **options)
+
+
+def make_kinds(deployment, running, *, factors=None, resends=3):
+    """Return what callers send to a running fleet.
+
+    :param factors: by flow, a function of seconds to a multiple of its rate.
+    """
+    factors = factors or {}
+    return [
+        caller.Kind(
+            name=flow.name,
+            rank=flow.rank,
+            ports=tuple(one.caller_port for one in running.list_nodes(flow.service)),
+            method=flow.method,
+            target=flow.target,
+            rate=_multiply(flow.rate, factors.get(flow.name)),
+            patience=flow.patience,
+            has_key=flow.has_key,
+            resends=resends,
+        )
+        for flow in deployment.flows
+    ]
+
+
+def _multiply(rate, factor):
+    if factor is None:
+        return lambda at: rate
+    return lambda at: rate * factor(at)
--- a/src/jackdawlanding/daemon/app.py
+++ b/src/jackdawlanding/daemon/app.py
@@ -14,6 +14,7 @@
     listener,
     local,
     onceonly,
+    passthrough,
     peers,
     reactor,
     supervisor,
@@ -28,6 +29,12 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 
+# The runner and the dispatcher, by whether the daemon only passes through.
+PARTS = {
+    False: (local.LocalRunner, dispatch.Dispatcher),
+    True: (passthrough.PassThroughRunner, passthrough.PassThroughDispatcher),
+}
+
 
 class Daemon:
     """One ``jackdawd``.
@@ -109,13 +116,14 @@
 
     def _build_parts(self):
         context = self.context
-        self.runner = local.LocalRunner(
+        make_runner, make_dispatcher = PARTS[self.settings.pass_through]
+        self.runner = make_runner(
             context=context,
             announce=lambda fingerprint, deaths: self.control.announce(
                 fingerprint, deaths
             ),
         )
-        self.dispatcher = dispatch.Dispatcher(
+        self.dispatcher = make_dispatcher(
             context=context,
             runner=self.runner,
             start_once_only=lambda call: self.once_only.start(call),
--- a/src/jackdawlanding/daemon/context.py
+++ b/src/jackdawlanding/daemon/context.py
@@ -94,6 +94,12 @@
                 ),
             )
 
+    def adapt(self, work):
+        """Return declared work as this daemon treats it."""
+        if self.settings.pass_through:
+            return work._replace(once_only=False, key_header="")
+        return work
+
     def list_services(self):
         """Return the services that this daemon serves and calls."""
         declaration = self.declaration
--- a/src/jackdawlanding/daemon/control.py
+++ b/src/jackdawlanding/daemon/control.py
@@ -18,6 +18,7 @@
 SYNC_TIMEOUT_SECONDS = 1.0
 ANNOUNCE_SECONDS = 0.3
 PAUSE_SECONDS = 2.0
+FIRST_START_SECONDS = 30.0
 SYNC_THREADS = 8
 MAXIMUM_TOLD_SUSPECTS = 64
 
@@ -294,11 +295,16 @@
         )
 
     def _is_new_service(self):
-        """Whether the service was first published within the repeat horizon."""
+        """Whether no process of this service can have run before this one.
+
+        The evidence is that the service was first published just before this
+        process started, or after.
+        """
         held = self._context.store.get(self._context.settings.service)
         if held is None:
             return False
-        return time.time() - held.publication.created < self._once_only.ledger.horizon
+        started_at = time.time() - (time.monotonic() - self._context.started_at)
+        return started_at - held.publication.created <= FIRST_START_SECONDS
 
     def _learn_sender(self, message):
         if message.service != self._context.settings.service:
--- a/src/jackdawlanding/daemon/doors.py
+++ b/src/jackdawlanding/daemon/doors.py
@@ -165,6 +165,10 @@
             seconds=time.monotonic() - began,
         )
 
+    def _find_work(self, declaration, request):
+        work = declaration.find_work(method=request.method, target=request.target)
+        return self._context.adapt(work)
+
     def _make_entry_call(self, request):
         service = self._context.settings.service
         declaration = self._context.declaration
@@ -172,7 +176,7 @@
             work = works.make_undeclared(method=request.method, path=request.target)
             caller, retries = request.peer, 0
         else:
-            work = declaration.find_work(method=request.method, target=request.target)
+            work = self._find_work(declaration, request)
             caller = _find_caller(declaration, request)
             retries = declaration.retry_allowance
         return calls.Call(
@@ -185,13 +189,13 @@
             rank=work.rank,
             protected=work.protected,
             caller=caller,
-            key=request.find(work.key_header.lower().encode()),
+            key=_find_key(work, request),
             deadline=time.monotonic() + work.deadline_seconds,
             allowance=allowance.TreeAllowance(retries=retries),
         )
 
     def _make_inner_call(self, request, service, declaration, parent):
-        work = declaration.find_work(method=request.method, target=request.target)
+        work = self._find_work(declaration, request)
         deadline = time.monotonic() + work.deadline_seconds
         retries = allowance.TreeAllowance(retries=declaration.retry_allowance)
         return calls.Call(
@@ -204,7 +208,7 @@
             rank=parent.rank if parent else works.LOWEST_RANK,
             protected=bool(parent and parent.protected),
             caller=parent.caller if parent else self._context.settings.service,
-            key=request.find(work.key_header.lower().encode()),
+            key=_find_key(work, request),
             deadline=min(deadline, parent.deadline) if parent else deadline,
             allowance=parent.allowance if parent else retries,
         )
@@ -214,7 +218,7 @@
         if declaration is None:
             work = works.make_undeclared(method=message.method, path=message.target)
         else:
-            work = declaration.find_work(method=message.method, target=message.target)
+            work = self._find_work(declaration, message)
         return calls.Call(
             service=message.service,
             method=message.method,
@@ -236,6 +240,12 @@
     return (request.find(name.lower().encode()) if name else "") or request.peer
 
 
+def _find_key(work, request):
+    if not work.key_header:
+        return ""
+    return request.find(work.key_header.lower().encode())
+
+
 def _tell_outcome(call, answer):
     """Put the outcome on a refusal as it holds for the caller.
 
--- /dev/null
+++ b/src/jackdawlanding/daemon/passthrough.py
@@ -0,0 +1,45 @@
+"""A daemon without decisions, for comparison: no limits, retries at each hop."""
+
+import random
+
+from jackdawlanding.daemon import dispatch, local, messages, peers
+
+TRIES = 3
+FAILURE_STATUS = 500
+
+
+class PassThroughRunner(local.LocalRunner):
+    """Runs every call at once."""
+
+    def run(self, call, cancellation=None):
+        """Run a call without admission; return its answer."""
+        if call.left <= 0:
+            return messages.refuse("too-late")
+        return self._call_backend(call, cancellation or peers.Cancellation())
+
+    def is_suspect(self, call):
+        """Return ``False``: nothing is remembered."""
+        return False
+
+
+class PassThroughDispatcher(dispatch.Dispatcher):
+    """Sends to a random instance and tries failures again, at each hop."""
+
+    def dispatch(self, call):
+        """Return the answer to a call, after three tries at most."""
+        self._context.metrics.count("first_tries")
+        answer = self._send_anywhere(call)
+        for _ in range(TRIES - 1):
+            if answer.response.status < FAILURE_STATUS or call.left <= 0:
+                break
+            self._context.metrics.count("retries")
+            answer = self._send_anywhere(call)
+        return answer
+
+    def _send_anywhere(self, call):
+        if call.service == self._context.settings.service:
+            return self._runner.run(call)
+        names = list(self._context.get_router(call.service).endpoints)
+        if not names:
+            return messages.refuse("no-instance")
+        return self._send(call, random.choice(names))
