Fail real processes; notice a pause before acting on an old view

Cause: test_an_owner_cut_off_from_all_refuses found a witness, frozen for 10 s, that ran a call from its socket buffer as soon as it woke, 5 s after its caller had been told 'unknown': worker threads woke before the control step that marks the view stale. Change: PauseGuard, asked under the ledger's lock by each attempt; a cancel that arrives with its call drops the call before it begins. Conclusion: a woken process refuses until its view is fresh again.

--- a/src/jackdawlanding/daemon/control.py
+++ b/src/jackdawlanding/daemon/control.py
@@ -17,7 +17,6 @@
 CALLED_SECONDS = 3.0
 SYNC_TIMEOUT_SECONDS = 1.0
 ANNOUNCE_SECONDS = 0.3
-PAUSE_SECONDS = 2.0
 FIRST_START_SECONDS = 30.0
 SYNC_THREADS = 8
 MAXIMUM_TOLD_SUSPECTS = 64
@@ -39,7 +38,6 @@
             max_workers=SYNC_THREADS, thread_name_prefix="sync"
         )
         self._busy = set()
-        self._stepped_at = time.monotonic()
         self._gossiped_at = float("-inf")
         self._called_at = float("-inf")
 
@@ -97,9 +95,8 @@
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     def _notice_pause(self, now):
-        gap = now - self._stepped_at
-        self._stepped_at = now
-        if gap < PAUSE_SECONDS:
+        gap = self._once_only.pauses.tick(now=now)
+        if not gap:
             return
         logger.warning("control: the process was paused for %.1f s.", gap)
         self._context.trail.record("view", cause="a pause", after="stale")
--- a/src/jackdawlanding/daemon/onceonly.py
+++ b/src/jackdawlanding/daemon/onceonly.py
@@ -7,7 +7,7 @@
 import time
 
 from jackdawlanding.daemon import dispatch, messages
-from jackdawlanding.decisions import keys, outcomes, ownership
+from jackdawlanding.decisions import keys, outcomes, ownership, pauses
 
 logger = logging.getLogger("jackdaw.onceonly")
 
@@ -68,6 +68,7 @@
         self._running = {}
         self._kept = KeptAnswers()
         self.lock = threading.Lock()
+        self.pauses = pauses.PauseGuard(now=time.monotonic())
         self.ledger = keys.KeyLedger(
             horizon=DEFAULT_HORIZON_SECONDS,
             capacity=context.settings.key_capacity,
@@ -165,6 +166,8 @@
         return None
 
     def _check_role(self, now, key, pair, made_at):
+        if self.pauses.is_paused(now=now):
+            self.ownership.forget_freshness()
         if not self.ownership.may_act(now=now, key=key, pair=pair, made_at=made_at):
             self._context.metrics.count("not_established")
             return messages.refuse("not-established")
--- a/src/jackdawlanding/daemon/peers.py
+++ b/src/jackdawlanding/daemon/peers.py
@@ -348,7 +348,10 @@
                 message = codec.decode_sync(frame.message)
                 calls.append((self._answer_sync, message, frame.body))
             elif frame.kind == framing.Kind.CANCEL:
-                self._cancel(codec.decode_cancel(frame.message))
+                message = codec.decode_cancel(frame.message)
+                # A call that was given up before it began never begins.
+                calls = [one for one in calls if not _is_call(one, message.id)]
+                self._cancel(message)
             else:
                 raise framing.FrameError(f"frame kind {frame.kind} is no request")
         return calls
@@ -382,3 +385,8 @@
                 self.sock.sendall(data)
             except OSError:
                 logger.info("peers: an answer found its connection closed.")
+
+
+def _is_call(entry, number):
+    _, message, _ = entry
+    return isinstance(message, codec.CallMessage) and message.id == number
--- a/tests/support.py
+++ b/tests/support.py
@@ -2,9 +2,13 @@
 
 import http.client
 import json
+import threading
+import time
 import typing
 
-from jackdawlanding.settings import declarations
+from jackdawlanding.daemon import app
+from jackdawlanding.emulator import backend as backends, platform as platforms
+from jackdawlanding.settings import declarations, options, publications
 
 PAYOUTS = """
 service = "payouts"
@@ -93,3 +97,88 @@
         )
     finally:
         connection.close()
+
+
+class Node:
+    """A daemon in this process beside a stand-in backend server."""
+
+    def __init__(self, *, service, platform, behaviour=None, name=None, **values):
+        self.backend = backends.BackendServer(
+            behaviour=behaviour or backends.Behaviour(service_seconds=0.0)
+        )
+        any_port = "127.0.0.1:0"
+        fields = {
+            "instance": name or f"{service}-0",
+            "service": service,
+            "region": "r1",
+            "failure_domain": "a",
+            "caller_address": any_port,
+            "local_address": any_port,
+            "peer_address": any_port,
+            "admin_address": any_port,
+            "backend_address": self.backend.address,
+            "platform_address": platform.address,
+            "threads": 24,
+            "settle_seconds": 0.1,
+            **values,
+        }
+        self.daemon = app.Daemon(settings=options.make(fields))
+        self.platform = platform
+        self.backend.local_address = f"127.0.0.1:{self.daemon.ports['local']}"
+        self._thread = threading.Thread(target=self.daemon.run, daemon=True)
+
+    @property
+    def port(self):
+        """Where callers call."""
+        return self.daemon.ports["callers"]
+
+    def start(self):
+        settings = self.daemon.settings
+        self.backend.start()
+        self._thread.start()
+        self.platform.list_instance(
+            settings.service,
+            {
+                "instance": settings.instance,
+                "address": f"127.0.0.1:{self.daemon.ports['peers']}",
+                "region": settings.region,
+                "failure_domain": settings.failure_domain,
+            },
+        )
+        wait_until(lambda: self.daemon.once_only.ownership.is_established)
+        return self
+
+    def stop(self):
+        self.daemon._stopped.set()
+        self._thread.join(5)
+        self.backend.stop()
+
+
+def start_platform(*texts, created=None):
+    """Return a started platform stand-in that publishes declarations."""
+    stand_in = platforms.Platform()
+    stand_in.start()
+    for text in texts:
+        publish(stand_in, text, version=1, created=created)
+    return stand_in
+
+
+def publish(stand_in, text, *, version, created=None):
+    """Publish a declaration's TOML text."""
+    declaration = declare(text)
+    publication = publications.Publication(
+        service=declaration.service,
+        version=version,
+        created=int(time.time() if created is None else created),
+        declaration=declaration,
+    )
+    stand_in.publish(declaration.service, publications.encode(publication))
+
+
+def wait_until(condition, *, seconds=10.0):
+    """Wait until a condition holds; fail after a bound."""
+    deadline = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError(f"nothing came of it within {seconds} s")
+        time.sleep(0.02)
--- /dev/null
+++ b/tests/test_backend.py
@@ -0,0 +1,87 @@
+"""The client of the backend server never sends a call twice."""
+
+import socket
+import threading
+import unittest
+
+from jackdawlanding.daemon import backend, peers
+from jackdawlanding.settings import addresses
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class OneAnswerServer:
+    """Answers the first request of a connection and drops the second unanswered."""
+
+    def __init__(self, *, answers=1):
+        self.requests = 0
+        self._answers = answers
+        self._sock = socket.create_server(("127.0.0.1", 0))
+        self.address = addresses.Address(*self._sock.getsockname())
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def stop(self):
+        self._sock.close()
+
+    def _serve(self):
+        while True:
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:
+                return
+            for number in range(self._answers + 1):
+                if not sock.recv(65536):
+                    break
+                self.requests += 1
+                if number < self._answers:
+                    sock.sendall(ANSWER)
+            sock.close()
+
+
+class BackendClientTest(unittest.TestCase):
+    def call(self, client):
+        return client.call(
+            method="POST",
+            target="/x",
+            headers=(),
+            body=b"b",
+            timeout=2.0,
+            cancellation=peers.Cancellation(),
+        )
+
+    def test_a_reused_connection_that_closes_is_not_tried_again(self):
+        server = OneAnswerServer()
+        self.addCleanup(server.stop)
+        client = backend.BackendClient(address=server.address)
+        self.assertEqual(self.call(client).body, b"ok")
+        with self.assertRaises(backend.BackendError) as caught:
+            self.call(client)
+        self.assertTrue(caught.exception.sent)
+        self.assertEqual(caught.exception.reason, "died")
+        self.assertEqual(server.requests, 2)
+
+    def test_a_refused_connection_says_that_nothing_was_sent(self):
+        server = OneAnswerServer()
+        server.stop()
+        client = backend.BackendClient(address=server.address)
+        with self.assertRaises(backend.BackendError) as caught:
+            self.call(client)
+        self.assertFalse(caught.exception.sent)
+
+    def test_an_answer_without_a_length_is_not_taken_as_whole(self):
+        global ANSWER
+        server = OneAnswerServer(answers=1)
+        self.addCleanup(server.stop)
+        before, ANSWER = ANSWER, b"HTTP/1.1 200 OK\r\n\r\nhalf a pa"
+        self.addCleanup(globals().__setitem__, "ANSWER", before)
+        client = backend.BackendClient(address=server.address)
+        with self.assertRaises(backend.BackendError) as caught:
+            client.call(
+                method="GET",
+                target="/x",
+                headers=(),
+                body=b"",
+                timeout=0.3,
+                cancellation=peers.Cancellation(),
+            )
+        self.assertTrue(caught.exception.sent)
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,262 @@
+"""Failures of real processes: kills, freezes, outages and planned stops."""
+
+import signal
+import threading
+import time
+import unittest
+
+from jackdawlanding.emulator import fleet
+from tests import support
+
+PAYOUTS = support.PAYOUTS.replace('calls = ["awards"]', "")
+FLAGS = ("--fresh-seconds=3", "--gone-seconds=2", "--settle-seconds=0.3")
+
+
+class FailureCase(unittest.TestCase):
+    instances = 3
+    service_seconds = 0.02
+    text = PAYOUTS
+
+    def setUp(self):
+        self.fleet = fleet.Fleet(
+            plans=[
+                fleet.ServicePlan(
+                    declaration=support.declare(self.text),
+                    instances=self.instances,
+                    service_seconds=self.service_seconds,
+                )
+            ],
+            flags=FLAGS,
+        )
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+        self.nodes = self.fleet.list_nodes("payouts")
+
+    def pay(self, node, key, *, timeout=10):
+        """Send a payout; return its reply, or ``None`` where none came."""
+        try:
+            return support.call(
+                node.caller_port,
+                "POST",
+                "/payouts",
+                body=b"x",
+                headers={"Idempotency-Key": key},
+                timeout=timeout,
+            )
+        except OSError:
+            return None
+        except support.http.client.HTTPException:
+            return None
+
+    def count_runs(self, key):
+        counters = [self.fleet.read_backend(node) for node in self.nodes]
+        return sum(one["runs"].get(key, 0) for one in counters if one)
+
+    def find_runner(self, key):
+        """Return the node whose backend server runs a key."""
+        for node in self.nodes:
+            counters = self.fleet.read_backend(node)
+            if counters and counters["runs"].get(key):
+                return node
+        return None
+
+
+class OnceOnlyTest(FailureCase):
+    service_seconds = 0.5
+
+    def resend_for(self, key, nodes, seconds):
+        """Resend a key through all nodes in turn; return all replies."""
+        replies = []
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            for node in nodes:
+                replies.append(self.pay(node, key))
+            time.sleep(0.1)
+        return [one for one in replies if one]
+
+    def start_payout(self, key):
+        """Start a payout; return the node that runs it."""
+        threading.Thread(
+            target=self.pay, args=(self.nodes[0], key), daemon=True
+        ).start()
+        support.wait_until(lambda: self.find_runner(key), seconds=3)
+        return self.find_runner(key)
+
+    def test_a_killed_owner_does_not_make_a_payout_run_twice(self):
+        for number in range(3):
+            key = f"kill-{number}"
+            runner = self.start_payout(key)
+            runner.daemon.kill()
+            self.fleet.platform.unlist_instance("payouts", runner.name)
+            others = [one for one in self.nodes if one is not runner]
+            replies = self.resend_for(key, others, 5)
+            self.assertEqual(self.count_runs(key), 1)
+            self.assertNotIn("not-run", {one.outcome for one in replies})
+            self.fleet.start_daemon(runner)
+            self.fleet.platform.list_instance("payouts", runner.entry)
+            self.fleet.wait_until_ready(runner)
+            self.resend_for(key, self.nodes, 1)
+            self.assertEqual(self.count_runs(key), 1)
+
+    def test_new_payouts_run_soon_after_an_owner_died(self):
+        self.nodes[0].daemon.kill()
+        self.fleet.platform.unlist_instance("payouts", self.nodes[0].name)
+        time.sleep(5)
+        statuses = [
+            self.pay(self.nodes[1 + number % 2], f"after-{number}").status
+            for number in range(12)
+        ]
+        self.assertEqual(statuses, [200] * 12)
+
+    def test_a_frozen_owner_that_wakes_late_runs_nothing_twice(self):
+        key = "freeze-1"
+        runner = self.start_payout(key)
+        runner.daemon.send_signal(signal.SIGSTOP)
+        self.fleet.platform.unlist_instance("payouts", runner.name)
+        others = [one for one in self.nodes if one is not runner]
+        self.resend_for(key, others, 6)
+        runner.daemon.send_signal(signal.SIGCONT)
+        self.fleet.platform.list_instance("payouts", runner.entry)
+        self.resend_for(key, self.nodes, 3)
+        self.assertEqual(self.count_runs(key), 1)
+
+    def test_payouts_go_on_while_the_platform_is_down(self):
+        self.fleet.platform.is_down = True
+        time.sleep(5)
+        replies = [
+            self.pay(self.nodes[number % 3], f"d-{number}") for number in range(9)
+        ]
+        self.assertEqual({one.status for one in replies}, {200})
+
+    def test_an_owner_cut_off_from_all_refuses(self):
+        self.fleet.platform.is_down = True
+        for node in self.nodes[1:]:
+            node.daemon.send_signal(signal.SIGSTOP)
+        time.sleep(5)
+        replies = [
+            self.pay(self.nodes[0], f"alone-{number}", timeout=7) for number in range(3)
+        ]
+        for node in self.nodes[1:]:
+            node.daemon.send_signal(signal.SIGCONT)
+        self.assertNotIn(200, {one.status for one in replies if one})
+        self.assertEqual(
+            {self.count_runs(f"alone-{number}") for number in range(3)}, {0}
+        )
+
+
+class LeavingTest(FailureCase):
+    service_seconds = 0.2
+
+    def test_a_rolling_replacement_cuts_no_call_and_exits_with_0(self):
+        replies, stopped = [], threading.Event()
+
+        def work(number):
+            while not stopped.is_set():
+                node = self.nodes[number % len(self.nodes)]
+                replies.append(self.pay_or_ask(node, len(replies)))
+
+        threads = [threading.Thread(target=work, args=(n,)) for n in range(6)]
+        for thread in threads:
+            thread.start()
+        codes = []
+        for node in list(self.nodes):
+            successor = self.fleet.add("payouts")
+            node.daemon.send_signal(signal.SIGTERM)
+            self.nodes[self.nodes.index(node)] = successor
+            codes.append(node.daemon.wait(15))
+            self.fleet.remove(node)
+        stopped.set()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(codes, [0, 0, 0])
+        cut = [one for one in replies if one is None]
+        self.assertEqual(cut, [])
+        self.assertGreater(len(replies), 30)
+        served = sum(1 for one in replies if one.status == 200)
+        self.assertGreaterEqual(served / len(replies), 0.9)
+
+    def pay_or_ask(self, node, number):
+        """Make a call; a refused connection is no call in flight."""
+        try:
+            return support.call(node.caller_port, "GET", f"/status/{number}")
+        except ConnectionRefusedError:
+            return support.Reply(status=503, headers={}, body=b"")
+        except (OSError, support.http.client.HTTPException):
+            return None
+
+    def test_a_listed_leaving_instance_gets_no_new_work(self):
+        node = self.nodes[0]
+        entry = {**node.entry, "state": "leaving"}
+        self.fleet.platform.list_instance("payouts", entry)
+        time.sleep(3)
+        before = self.fleet.read_backend(node)["started"]
+        for number in range(12):
+            support.call(self.nodes[1].caller_port, "GET", f"/status/{number}")
+        self.assertEqual(self.fleet.read_backend(node)["started"], before)
+        self.assertEqual(node.daemon.wait(15), 0)
+
+
+class ConfigurationTest(FailureCase):
+    def versions(self):
+        return [
+            (self.fleet.read_status(node) or {}).get("publications", {}).get("payouts")
+            for node in self.nodes
+        ]
+
+    def test_a_publication_is_in_force_everywhere_and_never_reverts(self):
+        self.fleet.platform.freeze()
+        self.fleet.publish("payouts", version=2)
+        began = time.monotonic()
+        support.wait_until(lambda: self.versions() == [2, 2, 2], seconds=12)
+        self.assertLess(time.monotonic() - began, 12)
+        self.fleet.platform.serve_old(True)
+        self.nodes[0].daemon.kill()
+        self.nodes[0].daemon.wait(5)
+        self.fleet.start_daemon(self.nodes[0])
+        support.wait_until(lambda: self.versions()[0] == 2, seconds=12)
+        for _ in range(20):
+            self.assertEqual(self.versions(), [2, 2, 2])
+            time.sleep(0.1)
+
+    def test_a_bad_publication_is_refused_and_audited(self):
+        self.fleet.platform.publish("payouts", b'{"service": "payouts", "version": 9}')
+        time.sleep(3)
+        self.assertEqual(self.versions(), [1, 1, 1])
+        causes = [one["cause"] for one in self.fleet.read_audit(self.nodes[0])]
+        self.assertTrue(any("refused" in one for one in causes))
+        self.assertEqual(self.pay(self.nodes[0], "still").status, 200)
+
+    def test_a_publication_reaches_daemons_that_cannot_read_the_platform(self):
+        self.fleet.publish("payouts", version=2)
+        support.wait_until(lambda: 2 in self.versions(), seconds=5)
+        self.fleet.platform.is_down = True
+        support.wait_until(lambda: self.versions() == [2, 2, 2], seconds=12)
+
+
+class CrashTest(FailureCase):
+    instances = 4
+
+    def count_dead(self):
+        return sum(1 for node in self.nodes if node.backend.poll() is not None)
+
+    def test_a_repeatable_crash_kills_two_backend_servers_at_most(self):
+        for number in range(24):
+            node = self.nodes[number % len(self.nodes)]
+            reply = support.call(node.caller_port, "GET", "/crash")
+            self.assertGreaterEqual(reply.status, 500)
+        self.assertLessEqual(self.count_dead(), 2)
+        living = [one for one in self.nodes if one.backend.poll() is None]
+        for node in living:
+            reply = support.call(node.caller_port, "GET", "/status/7")
+            self.assertEqual(reply.status, 200)
+
+    def test_a_once_only_crash_kills_one_backend_server(self):
+        for number in range(16):
+            node = self.nodes[number % len(self.nodes)]
+            support.call(
+                node.caller_port,
+                "POST",
+                "/payouts",
+                headers={"Idempotency-Key": "boom", "X-Crash": "1"},
+            )
+        self.assertEqual(self.count_dead(), 1)
