Stop acting when leaving; treat a member that fell behind as stale

Cause: the long fuzz (6,000 examples of 50 steps) found a key run twice: two of three members paused for 36 s, the third went on alone, then left. It kept acting while leaving, and the woken two, which had not kept up, took their old views for the whole history. Ruled out: a lost answer (the schedule has none). Change: a leaving member retires at once; a member without evidence for gone_seconds is stale, and where no member has kept up every key is uncertain for a horizon; fresh_seconds must be below gone_seconds, which settings check. Its cost is that a service of which nobody kept up waits a horizon for keys that carry no time.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -45,24 +45,27 @@
 def demo(deployment: DeploymentName = "plovdiv", output: Output = None):
     """Flood a small deployment, with decisions and with a pass-through daemon."""
     one = deployments.find(deployment)
-    print(f"{one.name}: a flood of {one.calm} at five times its rate, for 6 s")
-    _run_modes(one, overload.Plan(flow=one.calm), output)
+    print(f"{one.name}: a flood of {one.calm} to three times the capacity, for 6 s")
+    _run_modes(one, overload.Plan(flow=one.calm, peak_load=3.0), output)
 
 
 @application.command()
 def flood(
     deployment: DeploymentName = "plovdiv",
-    factor: typing.Annotated[float, typer.Option(help="Multiple of the rate.")] = 10,
+    load: typing.Annotated[
+        float, typer.Option(help="Peak load, a multiple of the capacity.")
+    ] = 3.0,
     urgent: typing.Annotated[
         bool, typer.Option(help="Flood the most urgent flow.")
     ] = False,
     output: Output = None,
 ):
-    """Flood the least or the most urgent flow."""
+    """Flood the least or the most urgent flow, from a load of one capacity."""
     one = deployments.find(deployment)
     flow = one.urgent if urgent else one.calm
-    print(f"{one.name}: a flood of {flow} at {factor:g} times its rate")
-    _run_modes(one, overload.Plan(flow=flow, factor=factor), output)
+    print(f"{one.name}: a flood of {flow} to {load:g} times the capacity")
+    plan = overload.Plan(flow=flow, calm_load=1.0, peak_load=load, resends=2)
+    _run_modes(one, plan, output)
 
 
 @application.command()
@@ -70,7 +73,15 @@
     """Slow the deep service tenfold for 5 s and watch goodput come back."""
     one = deployments.find(deployment)
     print(f"{one.name}: {one.deep} is ten times slower for 5 s")
-    plan = overload.Plan(before=5, trigger=5, after=10, factor=10, slows=True)
+    plan = overload.Plan(
+        flow=one.calm,
+        before=5,
+        trigger=5,
+        after=10,
+        calm_load=0.7,
+        peak_load=0.7,
+        slowdown=10,
+    )
     _run_modes(one, plan, output)
 
 
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -9,8 +9,10 @@
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 INSTANCES = 3
-SLOTS = 4
-SERVICE_SECONDS = 0.03
+ENTRY_SLOTS = 16
+ENTRY_SECONDS = 0.03
+DEEP_SLOTS = 4
+DEEP_SECONDS = 0.12
 PLACES = (("r1", "a"), ("r1", "b"), ("r2", "c"))
 
 
@@ -56,10 +58,10 @@
         "awards": (),
     },
     flows=(
-        _post("payment-order", "payouts", 0, "/orders", 15.0),
-        _post("award-revocation", "revocations", 0, "/revocations", 10.0),
-        _post("scholarship-payout", "payouts", 1, "/payouts", 15.0),
-        Flow("status-check", "status-desk", 5, "GET", "/status/1", 120.0),
+        _post("payment-order", "payouts", 0, "/orders", 8.0),
+        _post("award-revocation", "revocations", 0, "/revocations", 5.0),
+        _post("scholarship-payout", "payouts", 1, "/payouts", 7.0),
+        Flow("status-check", "status-desk", 5, "GET", "/status/1", 30.0),
     ),
     calm="status-check",
     urgent="payment-order",
@@ -74,16 +76,18 @@
         "shipdesk": (),
     },
     flows=(
-        _post("wholesale-order", "tradedesk", 0, "/orders", 15.0),
-        _post("weaver-payout", "weaverpay", 0, "/payouts", 10.0),
-        _post("export-invoice", "tradedesk", 1, "/invoices", 10.0),
-        Flow("stock-check", "showroom", 4, "GET", "/stock/1", 40.0),
-        Flow("catalogue-page", "showroom", 5, "GET", "/catalogue/1", 80.0),
+        _post("wholesale-order", "tradedesk", 0, "/orders", 7.0),
+        _post("weaver-payout", "weaverpay", 0, "/payouts", 5.0),
+        _post("export-invoice", "tradedesk", 1, "/invoices", 5.0),
+        Flow("stock-check", "showroom", 4, "GET", "/stock/1", 13.0),
+        Flow("catalogue-page", "showroom", 5, "GET", "/catalogue/1", 20.0),
     ),
     calm="catalogue-page",
     urgent="wholesale-order",
     deep="shipdesk",
 )
+# Whole requests a second that the deep service's backend servers can do.
+CAPACITY = INSTANCES * DEEP_SLOTS / DEEP_SECONDS
 DEPLOYMENTS = {one.name: one for one in (PLOVDIV, BOLGATANGA)}
 
 
@@ -124,8 +128,10 @@
         fleet.ServicePlan(
             declaration=declared[service],
             instances=INSTANCES,
-            slots=SLOTS,
-            service_seconds=SERVICE_SECONDS,
+            slots=DEEP_SLOTS if service == deployment.deep else ENTRY_SLOTS,
+            service_seconds=(
+                DEEP_SECONDS if service == deployment.deep else ENTRY_SECONDS
+            ),
             inner=inner,
             places=PLACES,
         )
@@ -158,6 +164,16 @@
     ]
 
 
+def find_factor(deployment, name, load):
+    """Return the multiple of a flow's rate that brings the whole load.
+
+    :param load: all flows together, as a multiple of :data:`CAPACITY`.
+    """
+    own = next(flow.rate for flow in deployment.flows if flow.name == name)
+    others = sum(flow.rate for flow in deployment.flows) - own
+    return (load * CAPACITY - others) / own
+
+
 def _multiply(rate, factor):
     if factor is None:
         return lambda at: rate
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -12,17 +12,21 @@
 class Plan(typing.NamedTuple):
     """An experiment: calm seconds, a trigger, and calm seconds after it.
 
-    :param flow: the flow that floods, '' for none.
-    :param factor: the multiple of its rate, or the slowdown of the deep service.
-    :param slows: whether the trigger slows the deep service instead.
+    :param flow: the flow that makes up the load.
+    :param calm_load: all flows together, as a multiple of the capacity.
+    :param peak_load: the same while the trigger lasts.
+    :param slowdown: of the deep service while the trigger lasts.
+    :param resends: how often a caller sends a failed request again.
     """
 
+    flow: str
     before: float = 4.0
     trigger: float = 6.0
     after: float = 5.0
-    flow: str = ""
-    factor: float = 5.0
-    slows: bool = False
+    calm_load: float = 0.5
+    peak_load: float = 0.5
+    slowdown: float = 1.0
+    resends: int = 3
 
     @property
     def seconds(self):
@@ -72,16 +76,16 @@
 def run(deployment, plan, mode, *, progress=None):
     """Run one experiment in one mode; return its :class:`Result`."""
     with deployments.make_fleet(deployment, pass_through=MODES[mode]) as running:
-        factors = {}
-        if plan.flow:
-            factors[plan.flow] = lambda at: (
-                plan.factor if plan.before <= at < plan.end else 1.0
-            )
-        kinds = deployments.make_kinds(deployment, running, factors=factors)
+        calm = deployments.find_factor(deployment, plan.flow, plan.calm_load)
+        peak = deployments.find_factor(deployment, plan.flow, plan.peak_load)
+        factors = {plan.flow: lambda at: peak if plan.before <= at < plan.end else calm}
+        kinds = deployments.make_kinds(
+            deployment, running, factors=factors, resends=plan.resends
+        )
         load = caller.Load(kinds=kinds)
 
         def tell(second):
-            if plan.slows:
+            if plan.slowdown > 1:
                 _slow(running, deployment, plan, second)
             if progress:
                 progress(mode, second, plan.seconds)
@@ -92,7 +96,7 @@
 
 def _slow(running, deployment, plan, second):
     if second in (int(plan.before), int(plan.end)):
-        factor = plan.factor if second == int(plan.before) else 1.0
+        factor = plan.slowdown if second == int(plan.before) else 1.0
         for node in running.list_nodes(deployment.deep):
             running.slow_down(node, factor)
 
--- a/src/jackdawlanding/daemon/control.py
+++ b/src/jackdawlanding/daemon/control.py
@@ -67,6 +67,8 @@
     def announce_leaving(self):
         """Tell all members that this daemon leaves; return when they know."""
         self._context.roster.is_leaving = True
+        with self._once_only.lock:
+            self._once_only.ownership.retire()
         futures = [
             self._pool.submit(self._sync, address, {})
             for address in self._list_addresses()
@@ -101,7 +103,7 @@
         logger.warning("control: the process was paused for %.1f s.", gap)
         self._context.trail.record("view", cause="a pause", after="stale")
         with self._once_only.lock:
-            self._once_only.ownership.forget_freshness()
+            self._once_only.ownership.forget_freshness(now=now)
 
     def _adopt_view(self, now):
         members = self._context.roster.list_members(now=now)
@@ -241,6 +243,7 @@
         wall = time.time()
         answer = answer._replace(
             agrees=True,
+            has_kept_up=history.has_kept_up,
             has_keys=True,
             pending=tuple(tuple(sorted(view)) for view in history.pending),
             uncertain=tuple(
@@ -259,6 +262,7 @@
         message = reply.message
         history = ownership.History(
             pending=tuple(frozenset(view) for view in message.pending),
+            has_kept_up=message.has_kept_up,
             uncertain=tuple(
                 ownership.Uncertain(
                     views=tuple(frozenset(view) for view in one.views),
--- a/src/jackdawlanding/daemon/onceonly.py
+++ b/src/jackdawlanding/daemon/onceonly.py
@@ -77,6 +77,7 @@
             me=context.roster.me,
             horizon=DEFAULT_HORIZON_SECONDS,
             fresh_seconds=context.settings.fresh_seconds,
+            gone_seconds=context.settings.gone_seconds,
         )
 
     def start(self, call):
@@ -167,7 +168,7 @@
 
     def _check_role(self, now, key, pair, made_at):
         if self.pauses.is_paused(now=now):
-            self.ownership.forget_freshness()
+            self.ownership.forget_freshness(now=now)
         if not self.ownership.may_act(now=now, key=key, pair=pair, made_at=made_at):
             self._context.metrics.count("not_established")
             return messages.refuse("not-established")
--- a/src/jackdawlanding/decisions/ownership.py
+++ b/src/jackdawlanding/decisions/ownership.py
@@ -11,7 +11,10 @@
 repeat horizon, unless they carry a time later than the loss.
 
 A member acts only while its view is fresh: a recent list names it, or most of
-the view has answered it lately. See docs/design/once-only.md.
+the view has answered it lately. A member that has been without such evidence
+for so long that others may have gone on without it is stale: it asks everybody
+again, and where no other member kept up either, every key is uncertain.
+See docs/design/once-only.md.
 """
 
 import hashlib
@@ -51,10 +54,12 @@
 
     ``pending`` holds the views adopted since the last established one, that
     one first; it is empty for a member that was never established.
+    ``has_kept_up`` says that no other members can have gone on without it.
     """
 
     pending: tuple = ()
     uncertain: tuple = ()
+    has_kept_up: bool = False
 
 
 class Ownership:
@@ -62,18 +67,23 @@
 
     :param me: this member's name, new with each process.
     :param horizon: repeat horizon in seconds.
-    :param fresh_seconds: how long a list or an answer keeps a view fresh.
+    :param fresh_seconds: how long evidence lets this member act.
+    :param gone_seconds: how long others wait before they go on without it;
+        more than ``fresh_seconds``.
     """
 
-    def __init__(self, *, me, horizon, fresh_seconds):
+    def __init__(self, *, me, horizon, fresh_seconds, gone_seconds):
         self.me = me
         self.horizon = horizon
         self.fresh_seconds = fresh_seconds
+        self.gone_seconds = gone_seconds
         self.view = frozenset()
         self.uncertain = ()
         self._pending = []
         self._has_history = False
         self._is_stale = False
+        self._is_retired = False
+        self._distrusted_before = float("-inf")
         self._answered = set()
         self._learned = []
         self._listed_at = float("-inf")
@@ -104,13 +114,17 @@
         """Return the members that have yet to be asked, in a fixed order."""
         return sorted(self.view - self._answered)
 
+    def retire(self):
+        """Stop acting for good: this process leaves."""
+        self._is_retired = True
+
     def tell(self, *, now, view_hash):
         """Return the :class:`History` for an asker, ``None`` on another view."""
         if not self.view or view_hash != self.view_hash:
             return None
         self._expire(now)
-        pending = tuple(self._pending) if self._has_history else ()
-        return History(pending=pending, uncertain=self.uncertain)
+        self.tick(now=now)
+        return self._tell_self()
 
     def learn(self, *, now, wall, member, view_hash, history, is_new_service):
         """Take in a member's history; its keys must be merged before.
@@ -144,27 +158,32 @@
         """Record that a member answered with the same view."""
         self._contacts[member] = now
 
-    def forget_freshness(self):
-        """Treat every view as stale, as after a pause of the process."""
-        self._listed_at = float("-inf")
-        self._contacts.clear()
-        self._mark_stale()
+    def forget_freshness(self, *, now):
+        """Act only on evidence from after ``now``, as after a pause."""
+        self._distrusted_before = now
+        self.tick(now=now)
 
     def tick(self, *, now):
-        """Notice that the view has gone stale; call it several times a lease."""
-        if self._has_history and not self._is_stale and not self.is_fresh(now=now):
+        """Notice that this member has not kept up; call it several times a second."""
+        if self._has_history and now - self._find_evidence() > self.gone_seconds:
             self._mark_stale()
 
     def is_fresh(self, *, now):
         """Return whether the view is fresh enough to act by."""
-        if now - self._listed_at <= self.fresh_seconds:
-            return True
-        recent = sum(
-            1
-            for member in self.view - {self.me}
-            if now - self._contacts.get(member, float("-inf")) <= self.fresh_seconds
+        evidence = self._find_evidence()
+        is_trusted = evidence > self._distrusted_before
+        return is_trusted and now - evidence <= self.fresh_seconds
+
+    def _find_evidence(self):
+        """Return when this member last had evidence that others count on it."""
+        others = self.view - {self.me}
+        needed = len(self.view) // 2
+        if not others:
+            return self._listed_at
+        times = sorted(
+            (self._contacts.get(one, float("-inf")) for one in others), reverse=True
         )
-        return len(self.view) > 1 and (recent + 1) * 2 > len(self.view)
+        return max(self._listed_at, times[needed - 1])
 
     def choose_pair(self, key):
         """Return the owner and the witness of a key's digest in this view."""
@@ -179,7 +198,9 @@
         if self.me not in pair or pair != self.choose_pair(key):
             return False
         self.tick(now=now)
-        if not self.is_fresh(now=now) or not self._knows_history(key, pair):
+        if self._is_retired or not self.is_fresh(now=now):
+            return False
+        if not self._knows_history(key, pair):
             return False
         self._expire(now)
         return not any(
@@ -189,6 +210,8 @@
 
     def _mark_stale(self):
         """Ask all members again: they may have gone on without this one."""
+        if self._is_stale:
+            return
         self._is_stale = True
         self._answered = {self.me}
         self._learned = []
@@ -207,9 +230,9 @@
         views = {view for history in histories for view in history.pending}
         inherited = {one for history in self._learned for one in history.uncertain}
         self.uncertain = tuple({*self.uncertain, *inherited})
-        if views:
+        if any(history.has_kept_up for history in histories):
             self._note_losses(now, wall, views)
-        elif not is_new_service:
+        elif views or not is_new_service:
             self._add_uncertain(now, wall, (), frozenset())
         self._has_history = True
         self._is_stale = False
@@ -217,8 +240,13 @@
         self._learned = []
 
     def _tell_self(self):
-        pending = tuple(self._pending) if self._has_history else ()
-        return History(pending=pending)
+        if not self._has_history:
+            return History(uncertain=self.uncertain)
+        return History(
+            pending=tuple(self._pending),
+            uncertain=self.uncertain,
+            has_kept_up=not self._is_stale,
+        )
 
     def _note_losses(self, now, wall, views):
         lost = tuple(
--- a/src/jackdawlanding/settings/options.py
+++ b/src/jackdawlanding/settings/options.py
@@ -30,8 +30,8 @@
     threads: int = 128
     fleet_size: int = 64
     platform_reads: float = 1000.0
-    fresh_seconds: float = 10.0
-    gone_seconds: float = 5.0
+    fresh_seconds: float = 6.0
+    gone_seconds: float = 8.0
     settle_seconds: float = 1.0
     grace_seconds: float = 20.0
     retry_ratio: float = 0.1
@@ -82,6 +82,13 @@
     for field in POSITIVE_FIELDS:
         if getattr(settings, field) <= 0:
             raise _fault(settings, field, "is not positive", "use more than 0")
+    if settings.fresh_seconds >= settings.gone_seconds:
+        raise _fault(
+            settings,
+            "fresh_seconds",
+            f"is not below --gone-seconds {settings.gone_seconds:g}",
+            "an instance must stop acting before others go on without it",
+        )
     return settings
 
 
--- a/src/jackdawlanding/wire/codec.py
+++ b/src/jackdawlanding/wire/codec.py
@@ -115,6 +115,7 @@
     has_keys: bool = False
     wants_instances: bool = False
     list_hash: bytes = b""
+    has_kept_up: bool = False
 
 
 def to_micros(seconds):
@@ -185,6 +186,7 @@
         hasKeys=sync.has_keys,
         wantsInstances=sync.wants_instances,
         listHash=sync.list_hash,
+        hasKeptUp=sync.has_kept_up,
     )
     # Empty lists still cost bytes; leave them out.
     if sync.publications:
@@ -319,6 +321,7 @@
         has_keys=reader.hasKeys,
         wants_instances=reader.wantsInstances,
         list_hash=bytes(reader.listHash),
+        has_kept_up=reader.hasKeptUp,
     )
 
 
--- a/src/jackdawlanding/wire/peer.capnp
+++ b/src/jackdawlanding/wire/peer.capnp
@@ -63,6 +63,7 @@
   hasKeys @17 :Bool;
   wantsInstances @18 :Bool;  # asks for the answerer's list of its service
   listHash @19 :Data;
+  hasKeptUp @20 :Bool;       # nobody can have gone on without the answerer
 }
 
 struct Digest {
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -9,7 +9,7 @@
 from tests import support
 
 PAYOUTS = support.PAYOUTS.replace('calls = ["awards"]', "")
-FLAGS = ("--fresh-seconds=3", "--gone-seconds=2", "--settle-seconds=0.3")
+FLAGS = ("--fresh-seconds=2", "--gone-seconds=3", "--settle-seconds=0.3")
 
 
 class FailureCase(unittest.TestCase):
--- a/tests/world.py
+++ b/tests/world.py
@@ -11,7 +11,7 @@
 
 HORIZON = 30.0
 FRESH = 4.0
-GONE = 3.0
+GONE = 5.0
 SETTLE = 1.0
 WALL = 1_700_000_000.0
 FIRST_START = 2.0
@@ -45,7 +45,10 @@
             settle_seconds=SETTLE,
         )
         self.ownership = ownership.Ownership(
-            me=self.roster.me, horizon=HORIZON, fresh_seconds=FRESH
+            me=self.roster.me,
+            horizon=HORIZON,
+            fresh_seconds=FRESH,
+            gone_seconds=GONE,
         )
         self.ledger = keys.KeyLedger(horizon=HORIZON)
 
@@ -98,6 +101,7 @@
             self.start(instance)
         elif fate == "leave":
             daemon.is_leaving = daemon.roster.is_leaving = True
+            daemon.ownership.retire()
         elif fate == "pause":
             daemon.is_paused = True
         else:
@@ -130,7 +134,7 @@
 
     def wake(self, daemon):
         daemon.is_paused = False
-        daemon.ownership.forget_freshness()
+        daemon.ownership.forget_freshness(now=self.now)
 
     def talk(self, one, other):
         """Return whether two daemons reach each other."""
