--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,7 +7,13 @@
 
 import typer
 
-from bench import deployments, latency as latencies, overload
+from bench import (
+    capacity as capacities,
+    deployments,
+    latency as latencies,
+    overload,
+    slopes as slopes_bench,
+)
 from jackdawlanding import exceptions
 
 application = typer.Typer(
@@ -97,6 +103,32 @@
     _write(output, [row._asdict() for row in rows])
 
 
+@application.command()
+def slopes(output: Output = None):
+    """Measure how a daemon's costs grow; takes about two minutes."""
+    rows = slopes_bench.run(progress=_tell)
+    print(file=sys.stderr)
+    for row in rows:
+        print(
+            f"{row.quantity:>15} over {row.over:<22} slope {row.slope:>12.6g} "
+            f"at nothing {row.intercept:>12.6g} residual {row.residual:>10.4g}"
+        )
+    _write(output, [row._asdict() for row in rows])
+
+
+@application.command()
+def capacity(
+    slopes_file: typing.Annotated[
+        pathlib.Path, typer.Option("--slopes", help="What slopes --json wrote.")
+    ],
+    page: typing.Annotated[
+        pathlib.Path, typer.Option(help="Page whose table is made anew.")
+    ] = pathlib.Path("docs/CAPACITY.md"),
+):
+    """Make the table of docs/CAPACITY.md anew from measured slopes."""
+    capacities.update(page, json.loads(slopes_file.read_text()))
+
+
 def _write(output, data):
     if output:
         output.parent.mkdir(parents=True, exist_ok=True)
--- a/src/jackdawlanding/daemon/admission.py
+++ b/src/jackdawlanding/daemon/admission.py
@@ -28,15 +28,17 @@
 
     def enter(self, entry):
         """Offer an entry and wait; return ``None`` or why it was refused."""
-        entry.token = _Ticket()
         with self._lock:
             change = self.gate.offer(now=time.monotonic(), entry=entry)
+            is_queued = change.verdict is admission.Verdict.QUEUED
+            if is_queued:
+                # Nobody can admit the entry before the lock is free again.
+                entry.token = _Ticket()
         self._notify(change)
-        if change.verdict is admission.Verdict.QUEUED:
+        verdict = change.verdict
+        if is_queued:
             entry.token.event.wait()
             verdict = entry.token.verdict
-        else:
-            verdict = change.verdict
         return None if verdict is admission.Verdict.ADMITTED else verdict.value
 
     def leave(self, entry, *, end, inner_seconds):
--- a/src/jackdawlanding/daemon/local.py
+++ b/src/jackdawlanding/daemon/local.py
@@ -34,18 +34,20 @@
         if refusal:
             return messages.refuse(refusal)
         entry = admission.Entry(
-            work=call.work._replace(rank=call.rank, protected=call.protected),
+            work=_inherit_rank(call),
             caller=call.caller,
             deadline=call.deadline,
         )
         reason = self._context.admission.enter(entry)
         if reason:
             return messages.refuse(reason)
-        answer, inner_seconds = messages.refuse("too-late"), 0.0
+        answer, inner_seconds = None, 0.0
         try:
             with self._isolation.run(alone=alone, deadline=call.deadline) as entered:
                 if entered:
                     answer, inner_seconds = self._call_backend(call, cancellation)
+                else:
+                    answer = messages.refuse("too-late")
         finally:
             self._context.admission.leave(
                 entry, end=_find_end(answer), inner_seconds=inner_seconds
@@ -110,7 +112,7 @@
         except backend.BackendError as error:
             answer = self._convert_error(error, cancellation)
         finally:
-            is_whole = answer is not None and _find_end(answer) is admission.End.GOOD
+            is_whole = _find_end(answer) is admission.End.GOOD
             inner_seconds = self._context.held.drop(token, is_whole=is_whole)
         return answer, inner_seconds
 
@@ -169,8 +171,18 @@
     return order[0] if order else None
 
 
+def _inherit_rank(call):
+    """Return a call's work with the rank of its whole tree."""
+    work = call.work
+    if (work.rank, work.protected) == (call.rank, call.protected):
+        return work
+    return work._replace(rank=call.rank, protected=call.protected)
+
+
 def _find_end(answer):
     """Return what the limit learns from an answer."""
+    if answer is None:
+        return admission.End.FAILED
     if answer.reason in SHED_REASONS:
         return admission.End.SHED
     if answer.response.status < FAILURE_STATUS:
--- a/src/jackdawlanding/emulator/fleet.py
+++ b/src/jackdawlanding/emulator/fleet.py
@@ -243,13 +243,24 @@
             env={**os.environ, "PYTHONUNBUFFERED": "1"},
         )
 
+    def read_text(self, port, path):
+        """Return a page's text, '' where none comes."""
+        return self._request(port, path).decode()
+
     def _read(self, port, path, *, body=None):
+        data = self._request(port, path, body=body)
+        try:
+            return json.loads(data)
+        except ValueError:
+            return None
+
+    def _request(self, port, path, *, body=None):
         connection = http.client.HTTPConnection("127.0.0.1", port, timeout=2)
         try:
             connection.request("POST" if body else "GET", path, body=body)
-            return json.loads(connection.getresponse().read())
-        except (OSError, http.client.HTTPException, ValueError):
-            return None
+            return connection.getresponse().read()
+        except (OSError, http.client.HTTPException):
+            return b""
         finally:
             connection.close()
 
