--- a/src/jackdawlanding/decisions/routing.py
+++ b/src/jackdawlanding/decisions/routing.py
@@ -182,7 +182,8 @@
                 near.append(one)
         near_and_region = self._balance(near, region)
         tiers = [near_and_region, near + region]
-        if cross_region or not (near or region):
+        has_own = any(one.region == self.region for one in self._endpoints.values())
+        if cross_region or not has_own:
             tiers.append(far)
         return tiers
 
