Split the peers module, join repeats in one place, drop dead fields

Cause: a newcomer's reading: peers.py held both sides of a connection (392 lines), waiting for a running attempt stood twice, five fields of Sync and one kind of refusal were never read. Ruled out: nothing; behaviour stays. Change: answering.py and cancellation.py out of peers.py, joins.py out of doors.py and onceonly.py; fields removed before the first release. A test's stand-in went on accepting after its close, which made one check flaky; it shuts its listener down first.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -68,7 +68,6 @@
                 view_hash=asked.view_hash,
                 publications=asked.publications,
                 agrees=True,
-                has_keys=asked.wants_keys,
                 pending=(("someone",),) if asked.wants_keys else (),
                 has_kept_up=True,
             )
--- /dev/null
+++ b/src/jackdawlanding/daemon/answering.py
@@ -0,0 +1,123 @@
+"""Connections of other daemons: their calls and sync messages are answered."""
+
+import logging
+import threading
+
+from jackdawlanding.daemon import cancellation as cancellations, reactor
+from jackdawlanding.wire import codec, framing
+
+logger = logging.getLogger("jackdaw.answering")
+
+WRITE_TIMEOUT_SECONDS = 5.0
+MAXIMUM_CALLS_A_CONNECTION = 1024
+READ_BYTES = 65536
+
+
+class PeerHandler:
+    """The answering side of a connection from one peer, for a reactor.
+
+    :param serve_call: called with a call message, its body and a
+        ``cancellation.Cancellation``; returns an answer message and a body.
+    :param serve_sync: called with a sync message and its body; returns the same.
+    """
+
+    def __init__(self, *, sock, watcher, serve_call, serve_sync, note_closed):
+        self.sock = sock
+        self._watcher = watcher
+        self._serve_call = serve_call
+        self._serve_sync = serve_sync
+        self._note_closed = note_closed
+        self._splitter = framing.Splitter()
+        self._write_lock = threading.Lock()
+        self._running = {}
+        self._closed = False
+        sock.settimeout(WRITE_TIMEOUT_SECONDS)
+
+    def on_readable(self):
+        """Read frames; serve the last on this thread, the others on spare ones."""
+        data = self.sock.recv(READ_BYTES)
+        if not data:
+            return reactor.Next.CLOSE
+        try:
+            self._splitter.feed(data)
+            calls = self._take_calls()
+        except (framing.FrameError, codec.MessageError) as error:
+            logger.warning("answering: a connection was closed: %s.", error)
+            return reactor.Next.CLOSE
+        if not calls:
+            return reactor.Next.WATCH
+        for serve, message, body in calls[:-1]:
+            self._watcher.spawn(serve, message, body)
+        # Watched again before serving: other frames must not wait for this one.
+        self._watcher.rearm(self)
+        serve, message, body = calls[-1]
+        serve(message, body)
+        return reactor.Next.LEAVE
+
+    def is_overdue(self, now):
+        """Return whether to close; an idle peer connection never is."""
+        return False
+
+    def on_overdue(self):
+        """Do nothing."""
+
+    def close(self):
+        """Close the socket and give up what runs for it."""
+        if self._closed:
+            return
+        self._closed = True
+        self.sock.close()
+        self._note_closed()
+
+    def _take_calls(self):
+        calls = []
+        while frame := self._splitter.take():
+            if frame.kind == framing.Kind.CALL:
+                message = codec.decode_call(frame.message)
+                calls.append((self._answer_call, message, frame.body))
+            elif frame.kind == framing.Kind.SYNC:
+                message = codec.decode_sync(frame.message)
+                calls.append((self._answer_sync, message, frame.body))
+            elif frame.kind == framing.Kind.CANCEL:
+                message = codec.decode_cancel(frame.message)
+                # A call that was given up before it began never begins.
+                calls = [one for one in calls if not _is_call(one, message.id)]
+                self._cancel(message)
+            else:
+                raise framing.FrameError(f"frame kind {frame.kind} is no request")
+        return calls
+
+    def _cancel(self, message):
+        cancellation = self._running.get(message.id)
+        if cancellation:
+            cancellation.cancel()
+
+    def _answer_call(self, message, body):
+        if len(self._running) >= MAXIMUM_CALLS_A_CONNECTION:
+            answer = codec.AnswerMessage(id=message.id, status=503, reason="over-limit")
+            self._send(framing.Kind.ANSWER, codec.encode_answer(answer), b"")
+            return
+        cancellation = cancellations.Cancellation()
+        self._running[message.id] = cancellation
+        try:
+            answer, answer_body = self._serve_call(message, body, cancellation)
+        finally:
+            self._running.pop(message.id, None)
+        self._send(framing.Kind.ANSWER, codec.encode_answer(answer), answer_body)
+
+    def _answer_sync(self, message, body):
+        answer, answer_body = self._serve_sync(message, body)
+        self._send(framing.Kind.SYNCED, codec.encode_sync(answer), answer_body)
+
+    def _send(self, kind, message, body):
+        data = framing.join(kind=kind, message=message, body=body)
+        with self._write_lock:
+            try:
+                self.sock.sendall(data)
+            except OSError:
+                logger.info("answering: an answer found its connection closed.")
+
+
+def _is_call(entry, number):
+    _, message, _ = entry
+    return isinstance(message, codec.CallMessage) and message.id == number
--- a/src/jackdawlanding/daemon/app.py
+++ b/src/jackdawlanding/daemon/app.py
@@ -7,6 +7,7 @@
 
 from jackdawlanding.daemon import (
     admin,
+    answering,
     context as contexts,
     control as controls,
     dispatch,
@@ -15,7 +16,6 @@
     local,
     onceonly,
     passthrough,
-    peers,
     reactor,
     supervisor,
     values as published,
@@ -190,7 +190,7 @@
         return make
 
     def _make_peer(self, sock, peer, note_closed):
-        return peers.PeerHandler(
+        return answering.PeerHandler(
             sock=sock,
             watcher=self._reactor,
             serve_call=self.doors.serve_peer,
--- a/src/jackdawlanding/daemon/backend.py
+++ b/src/jackdawlanding/daemon/backend.py
@@ -92,7 +92,7 @@
 
         :param timeout: seconds until the call is given up and cancelled, which
             closes its connection.
-        :param cancellation: a :class:`peers.Cancellation`.
+        :param cancellation: a ``cancellation.Cancellation``.
         :raises BackendError: there is no whole answer.
         """
         end = time.monotonic() + timeout
--- a/src/jackdawlanding/daemon/control.py
+++ b/src/jackdawlanding/daemon/control.py
@@ -228,7 +228,6 @@
                     -MAXIMUM_TOLD_SUSPECTS:
                 ]
             ),
-            age=now - context.started_at,
             list_hash=instances.compute_hash(context.roster.listed.values()),
         )
 
@@ -243,7 +242,6 @@
         answer = answer._replace(
             agrees=True,
             has_kept_up=history.has_kept_up,
-            has_keys=True,
             pending=tuple(tuple(sorted(view)) for view in history.pending),
             uncertain=tuple(
                 codec.Uncertainty(
--- a/src/jackdawlanding/daemon/doors.py
+++ b/src/jackdawlanding/daemon/doors.py
@@ -1,12 +1,11 @@
 """Where calls come in: callers, the own backend server and other daemons."""
 
-import concurrent.futures
 import contextlib
 import logging
 import threading
 import time
 
-from jackdawlanding.daemon import calls, dispatch, messages
+from jackdawlanding.daemon import calls, dispatch, joins, messages
 from jackdawlanding.decisions import allowance, outcomes, work as works
 from jackdawlanding.wire import codec
 
@@ -25,28 +24,6 @@
 CALL_TOKEN = messages.CALL_HEADER.lower()
 
 
-class JoinTable:
-    """Attempts that run here, by caller and key, for repeats to join."""
-
-    def __init__(self):
-        self._running = {}
-        self._lock = threading.Lock()
-
-    def join_or_begin(self, key):
-        """Return the running attempt's future, or ``None`` if this one begins."""
-        with self._lock:
-            running = self._running.get(key)
-            if running is None:
-                self._running[key] = concurrent.futures.Future()
-            return running
-
-    def finish(self, key, answer):
-        """Give the answer to all that joined."""
-        with self._lock:
-            future = self._running.pop(key)
-        future.set_result(answer)
-
-
 class Doors:
     """Turns what comes in into calls, and answers them.
 
@@ -61,7 +38,7 @@
         self._dispatcher = dispatcher
         self._runner = runner
         self._once_only = once_only
-        self._joins = JoinTable()
+        self._joins = joins.JoinTable()
         self._busy = 0
         self._busy_lock = threading.Lock()
 
@@ -168,7 +145,8 @@
         key = (call.caller, call.method, call.target, call.key)
         running = self._joins.join_or_begin(key)
         if running is not None:
-            return self._wait_for(call, running)
+            self._context.metrics.count("joined")
+            return joins.wait(call, running)
         answer = messages.refuse("internal", outcome=outcomes.Outcome.UNKNOWN)
         try:
             answer = self._dispatch(call)
@@ -176,13 +154,6 @@
             self._joins.finish(key, answer)
         return answer
 
-    def _wait_for(self, call, running):
-        self._context.metrics.count("joined")
-        try:
-            return running.result(timeout=max(0.0, call.left))
-        except concurrent.futures.TimeoutError:
-            return messages.refuse("attempt-running", outcome=outcomes.Outcome.UNKNOWN)
-
     def _dispatch(self, call):
         return self._dispatcher.dispatch(call)
 
--- a/src/jackdawlanding/daemon/local.py
+++ b/src/jackdawlanding/daemon/local.py
@@ -3,7 +3,13 @@
 import logging
 import time
 
-from jackdawlanding.daemon import backend, calls, isolation, messages, peers
+from jackdawlanding.daemon import (
+    backend,
+    calls,
+    cancellation as cancellations,
+    isolation,
+    messages,
+)
 from jackdawlanding.decisions import admission, outcomes, quarantine, rendezvous
 
 logger = logging.getLogger("jackdaw.local")
@@ -96,7 +102,7 @@
 
     def _call_backend(self, call, cancellation=None):
         """Return the answer and the seconds that the call's own calls took."""
-        cancellation = cancellation or peers.Cancellation()
+        cancellation = cancellation or cancellations.Cancellation()
         token = self._context.held.hold(call)
         answer = None
         try:
--- a/src/jackdawlanding/daemon/messages.py
+++ b/src/jackdawlanding/daemon/messages.py
@@ -116,7 +116,6 @@
     "quarantined": Refusal(
         503, "This request crashed backend servers", "Do not send it again."
     ),
-    "repeated": Refusal(429, "The same request is repeated", "Wait and try again."),
     "undeclared-service": Refusal(
         502, "The service is not declared", "Declare it in calls and publish."
     ),
--- a/src/jackdawlanding/daemon/onceonly.py
+++ b/src/jackdawlanding/daemon/onceonly.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-from jackdawlanding.daemon import dispatch, messages
+from jackdawlanding.daemon import dispatch, joins, messages
 from jackdawlanding.decisions import keys, outcomes, ownership, pauses
 
 logger = logging.getLogger("jackdaw.onceonly")
@@ -146,7 +146,7 @@
         owner, _ = pair
         if owner == self.ownership.me:
             return self._runner.run(call)
-        answer, message = self._send_to(
+        answer, _ = self._send_to(
             call,
             address=self._find_address(owner),
             role=dispatch.ROLE_OWN,
@@ -179,20 +179,14 @@
 
     def _answer_seen(self, call, key, held, running):
         if running is not None:
-            return self._join(call, running)
+            self._context.metrics.count("joined")
+            return joins.wait(call, running)
         kept = self._kept.get(key)
         if kept is not None:
             return kept
         reason, outcome = SEEN_REFUSALS[held.state]
         return messages.refuse(reason, outcome=outcome)._replace(vouched=True)
 
-    def _join(self, call, running):
-        self._context.metrics.count("joined")
-        try:
-            return running.result(timeout=max(0.0, call.left))
-        except concurrent.futures.TimeoutError:
-            return messages.refuse("attempt-running", outcome=outcomes.Outcome.UNKNOWN)
-
     def _digest(self, call):
         declaration = self._context.declaration
         has_caller = bool(declaration and declaration.caller.header)
--- a/src/jackdawlanding/daemon/peers.py
+++ b/src/jackdawlanding/daemon/peers.py
@@ -1,4 +1,4 @@
-"""Connections between daemons: many calls in flight, answers in any order.
+"""Calls to other daemons: many in flight on a connection, answers in any order.
 
 A thread that waits for an answer reads the connection itself if no other does,
 so that the common case hands nothing from one thread to another.
@@ -6,22 +6,17 @@
 
 import contextlib
 import itertools
-import logging
 import select
 import socket
 import threading
 import time
 import typing
 
-from jackdawlanding.daemon import reactor
 from jackdawlanding.wire import codec, framing
 
-logger = logging.getLogger("jackdaw.peers")
-
 CONNECT_TIMEOUT_SECONDS = 1.0
 WRITE_TIMEOUT_SECONDS = 5.0
 FOLLOWER_CHECK_SECONDS = 0.25
-MAXIMUM_CALLS_A_CONNECTION = 1024
 READ_BYTES = 65536
 
 
@@ -255,138 +250,3 @@
             connection = PeerConnection(address=(host, int(port)))
             self._connections[address] = connection
             return connection
-
-
-class Cancellation:
-    """Lets a call be given up from another thread."""
-
-    def __init__(self):
-        self.is_cancelled = False
-        self._sock = None
-        self._lock = threading.Lock()
-
-    def attach(self, sock):
-        """Say which socket the call waits on, or ``None``."""
-        with self._lock:
-            self._sock = sock
-
-    def cancel(self):
-        """Give the call up: shut the socket that it waits on."""
-        with self._lock:
-            self.is_cancelled = True
-            sock, self._sock = self._sock, None
-        if sock:
-            try:
-                sock.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                return
-
-
-class PeerHandler:
-    """The answering side of a connection from one peer, for a reactor.
-
-    :param serve_call: called with a call message, its body and a
-        :class:`Cancellation`; returns an answer message and a body.
-    :param serve_sync: called with a sync message and its body; returns the same.
-    """
-
-    def __init__(self, *, sock, watcher, serve_call, serve_sync, note_closed):
-        self.sock = sock
-        self._watcher = watcher
-        self._serve_call = serve_call
-        self._serve_sync = serve_sync
-        self._note_closed = note_closed
-        self._splitter = framing.Splitter()
-        self._write_lock = threading.Lock()
-        self._running = {}
-        self._closed = False
-        sock.settimeout(WRITE_TIMEOUT_SECONDS)
-
-    def on_readable(self):
-        """Read frames; serve the last on this thread, the others on spare ones."""
-        data = self.sock.recv(READ_BYTES)
-        if not data:
-            return reactor.Next.CLOSE
-        try:
-            self._splitter.feed(data)
-            calls = self._take_calls()
-        except (framing.FrameError, codec.MessageError) as error:
-            logger.warning("peers: a connection was closed: %s.", error)
-            return reactor.Next.CLOSE
-        if not calls:
-            return reactor.Next.WATCH
-        for serve, message, body in calls[:-1]:
-            self._watcher.spawn(serve, message, body)
-        # Watched again before serving: other frames must not wait for this one.
-        self._watcher.rearm(self)
-        serve, message, body = calls[-1]
-        serve(message, body)
-        return reactor.Next.LEAVE
-
-    def is_overdue(self, now):
-        """Return whether to close; an idle peer connection never is."""
-        return False
-
-    def on_overdue(self):
-        """Do nothing."""
-
-    def close(self):
-        """Close the socket and give up what runs for it."""
-        if self._closed:
-            return
-        self._closed = True
-        self.sock.close()
-        self._note_closed()
-
-    def _take_calls(self):
-        calls = []
-        while frame := self._splitter.take():
-            if frame.kind == framing.Kind.CALL:
-                message = codec.decode_call(frame.message)
-                calls.append((self._answer_call, message, frame.body))
-            elif frame.kind == framing.Kind.SYNC:
-                message = codec.decode_sync(frame.message)
-                calls.append((self._answer_sync, message, frame.body))
-            elif frame.kind == framing.Kind.CANCEL:
-                message = codec.decode_cancel(frame.message)
-                # A call that was given up before it began never begins.
-                calls = [one for one in calls if not _is_call(one, message.id)]
-                self._cancel(message)
-            else:
-                raise framing.FrameError(f"frame kind {frame.kind} is no request")
-        return calls
-
-    def _cancel(self, message):
-        cancellation = self._running.get(message.id)
-        if cancellation:
-            cancellation.cancel()
-
-    def _answer_call(self, message, body):
-        if len(self._running) >= MAXIMUM_CALLS_A_CONNECTION:
-            answer = codec.AnswerMessage(id=message.id, status=503, reason="over-limit")
-            self._send(framing.Kind.ANSWER, codec.encode_answer(answer), b"")
-            return
-        cancellation = Cancellation()
-        self._running[message.id] = cancellation
-        try:
-            answer, answer_body = self._serve_call(message, body, cancellation)
-        finally:
-            self._running.pop(message.id, None)
-        self._send(framing.Kind.ANSWER, codec.encode_answer(answer), answer_body)
-
-    def _answer_sync(self, message, body):
-        answer, answer_body = self._serve_sync(message, body)
-        self._send(framing.Kind.SYNCED, codec.encode_sync(answer), answer_body)
-
-    def _send(self, kind, message, body):
-        data = framing.join(kind=kind, message=message, body=body)
-        with self._write_lock:
-            try:
-                self.sock.sendall(data)
-            except OSError:
-                logger.info("peers: an answer found its connection closed.")
-
-
-def _is_call(entry, number):
-    _, message, _ = entry
-    return isinstance(message, codec.CallMessage) and message.id == number
--- a/src/jackdawlanding/wire/codec.py
+++ b/src/jackdawlanding/wire/codec.py
@@ -101,18 +101,13 @@
     service: str
     leaving: bool = False
     view_hash: bytes = b""
-    list_age: float = 1e9
     wants_keys: bool = False
     publications: tuple = ()
     suspects: tuple = ()
     pending: tuple = ()
     uncertain: tuple = ()
     wants_publication: str = ""
-    age: float = 0.0
-    view: tuple = ()
-    departed: tuple = ()
     agrees: bool = False
-    has_keys: bool = False
     wants_instances: bool = False
     list_hash: bytes = b""
     has_kept_up: bool = False
@@ -178,12 +173,9 @@
         service=sync.service,
         leaving=sync.leaving,
         viewHash=sync.view_hash,
-        listAgeMicros=to_micros(sync.list_age),
         wantsKeys=sync.wants_keys,
         wantsPublication=sync.wants_publication,
-        ageMicros=to_micros(sync.age),
         agrees=sync.agrees,
-        hasKeys=sync.has_keys,
         wantsInstances=sync.wants_instances,
         listHash=sync.list_hash,
         hasKeptUp=sync.has_kept_up,
@@ -212,10 +204,6 @@
             }
             for item in sync.uncertain
         ]
-    if sync.view:
-        message.view = list(sync.view)
-    if sync.departed:
-        message.departed = list(sync.departed)
     return message.to_bytes()
 
 
@@ -297,7 +285,6 @@
         service=reader.service,
         leaving=reader.leaving,
         view_hash=bytes(reader.viewHash),
-        list_age=reader.listAgeMicros / MICROS,
         wants_keys=reader.wantsKeys,
         publications=tuple(
             Digest(service=item.service, version=item.version)
@@ -314,11 +301,7 @@
         pending=tuple(tuple(view.members) for view in reader.pending),
         uncertain=tuple(_convert_uncertainty(item) for item in reader.uncertain),
         wants_publication=reader.wantsPublication,
-        age=reader.ageMicros / MICROS,
-        view=tuple(reader.view),
-        departed=tuple(reader.departed),
         agrees=reader.agrees,
-        has_keys=reader.hasKeys,
         wants_instances=reader.wantsInstances,
         list_hash=bytes(reader.listHash),
         has_kept_up=reader.hasKeptUp,
--- a/src/jackdawlanding/wire/peer.capnp
+++ b/src/jackdawlanding/wire/peer.capnp
@@ -49,21 +49,16 @@
   service @3 :Text;
   leaving @4 :Bool;
   viewHash @5 :Data;
-  listAgeMicros @6 :UInt64;  # age of the freshest list view known
+  listHash @6 :Data;
   wantsKeys @7 :Bool;        # asks for the keys that the answerer remembers
-  publications @8 :List(Digest);
-  suspects @9 :List(Suspect);
-  pending @10 :List(View);   # views adopted and not yet established
-  uncertain @11 :List(Uncertainty);
-  wantsPublication @12 :Text;
-  ageMicros @13 :UInt64;     # age of this process
-  view @14 :List(Text);
-  departed @15 :List(Text);  # members known to have left or died
-  agrees @16 :Bool;          # the answerer holds the same view
-  hasKeys @17 :Bool;
-  wantsInstances @18 :Bool;  # asks for the answerer's list of its service
-  listHash @19 :Data;
-  hasKeptUp @20 :Bool;       # nobody can have gone on without the answerer
+  wantsPublication @8 :Text; # asks for the value of a service
+  wantsInstances @9 :Bool;   # asks for the answerer's list of its service
+  publications @10 :List(Digest);
+  suspects @11 :List(Suspect);
+  agrees @12 :Bool;          # the answerer holds the same view
+  hasKeptUp @13 :Bool;       # nobody can have gone on without the answerer
+  pending @14 :List(View);   # views adopted since the last established one
+  uncertain @15 :List(Uncertainty);
 }
 
 struct Digest {
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -1,10 +1,11 @@
 """The client of the backend server never sends a call twice."""
 
+import contextlib
 import socket
 import threading
 import unittest
 
-from jackdawlanding.daemon import backend, peers
+from jackdawlanding.daemon import backend, cancellation
 from jackdawlanding.settings import addresses
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -21,6 +22,9 @@
         threading.Thread(target=self._serve, daemon=True).start()
 
     def stop(self):
+        # A close alone leaves a blocked accept listening.
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
         self._sock.close()
 
     def _serve(self):
@@ -46,7 +50,7 @@
             headers=(),
             body=b"b",
             timeout=2.0,
-            cancellation=peers.Cancellation(),
+            cancellation=cancellation.Cancellation(),
         )
 
     def test_a_reused_connection_that_closes_is_not_tried_again(self):
@@ -82,6 +86,6 @@
                 headers=(),
                 body=b"",
                 timeout=0.3,
-                cancellation=peers.Cancellation(),
+                cancellation=cancellation.Cancellation(),
             )
         self.assertTrue(caught.exception.sent)
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -88,7 +88,6 @@
             instance="i",
             incarnation="x",
             service="s",
-            list_age=2.0,
             publications=(codec.Digest(service="s", version=4),),
             suspects=(codec.Suspect(fingerprint=b"f" * 16, deaths=1, left=3.0),),
             pending=(("a", "b"),),
