Remove what nothing calls; tell all members and name a sender in one place

Ruled out: nothing; behaviour stays. Change: Control._sync_all, _name_sender; the dead code is gone. Left: the retried and work fields of the peer messages are never set to anything that a reader uses.

--- a/src/jackdawlanding/daemon/app.py
+++ b/src/jackdawlanding/daemon/app.py
@@ -119,9 +119,7 @@
         make_runner, make_dispatcher = PARTS[self.settings.pass_through]
         self.runner = make_runner(
             context=context,
-            announce=lambda fingerprint, deaths: self.control.announce(
-                fingerprint, deaths
-            ),
+            announce=lambda: self.control.announce(),
         )
         self.dispatcher = make_dispatcher(
             context=context,
--- a/src/jackdawlanding/daemon/control.py
+++ b/src/jackdawlanding/daemon/control.py
@@ -6,7 +6,7 @@
 import time
 
 from jackdawlanding.daemon import instances, peers
-from jackdawlanding.decisions import ownership
+from jackdawlanding.decisions import membership, ownership
 from jackdawlanding.wire import codec, framing
 
 logger = logging.getLogger("jackdaw.control")
@@ -56,24 +56,16 @@
             self._called_at = now
             self._sync_called()
 
-    def announce(self, fingerprint, deaths):
-        """Tell all members of a suspect; wait a little for their answers."""
-        futures = [
-            self._pool.submit(self._sync, address, {})
-            for address in self._list_addresses()
-        ]
-        concurrent.futures.wait(futures, timeout=ANNOUNCE_SECONDS)
+    def announce(self):
+        """Tell all members of the suspects; wait a little for their answers."""
+        self._sync_all(ANNOUNCE_SECONDS)
 
     def announce_leaving(self):
         """Tell all members that this daemon leaves; return when they know."""
         self._context.roster.is_leaving = True
         with self._once_only.lock:
             self._once_only.ownership.retire()
-        futures = [
-            self._pool.submit(self._sync, address, {})
-            for address in self._list_addresses()
-        ]
-        concurrent.futures.wait(futures, timeout=SYNC_TIMEOUT_SECONDS)
+        self._sync_all(SYNC_TIMEOUT_SECONDS)
 
     def serve(self, message, body):
         """Answer a peer's sync message."""
@@ -270,7 +262,7 @@
                 for one in message.uncertain
             ),
         )
-        member = f"{message.instance}#{message.incarnation}"
+        member = _name_sender(message)
         with self._once_only.lock:
             self._once_only.ledger.merge(now=now, records=reply.body)
             established = self._once_only.ownership.learn(
@@ -320,14 +312,13 @@
             if message.view_hash == owner.view_hash:
                 owner.record_contact(
                     now=time.monotonic(),
-                    member=f"{message.instance}#{message.incarnation}",
+                    member=_name_sender(message),
                 )
         if changed:
             self._context.trail.record(
                 "membership",
                 cause="contact",
-                after=f"{message.instance}#{message.incarnation}"
-                + (" leaving" if message.leaving else ""),
+                after=_name_sender(message) + (" leaving" if message.leaving else ""),
             )
             self._values.hurry()
             self._adopt_view(time.monotonic())
@@ -364,9 +355,15 @@
             entries = instances.decode(reply.body)
             self._values.take_instances(service, entries)
 
-    def _list_addresses(self):
-        return [
-            entry.address
+    def _sync_all(self, seconds):
+        """Exchange a sync message with all members, for ``seconds`` at most."""
+        futures = [
+            self._pool.submit(self._sync, entry.address, {})
             for name, entry in self._context.roster.listed.items()
             if name != self._context.settings.instance
         ]
+        concurrent.futures.wait(futures, timeout=seconds)
+
+
+def _name_sender(message):
+    return membership.name_member(message.instance, message.incarnation)
--- a/src/jackdawlanding/daemon/doors.py
+++ b/src/jackdawlanding/daemon/doors.py
@@ -1,7 +1,6 @@
 """Where calls come in: callers, the own backend server and other daemons."""
 
 import contextlib
-import logging
 import threading
 import time
 
@@ -9,9 +8,6 @@
 from jackdawlanding.decisions import allowance, outcomes, work as works
 from jackdawlanding.wire import codec
 
-logger = logging.getLogger("jackdaw.doors")
-
-LOCAL_DEADLINE_SECONDS = 5.0
 HOST = b"host"
 # Shares of the worker threads that the steps of a call may use.
 ENTRY_SHARE = 0.5
--- a/src/jackdawlanding/daemon/local.py
+++ b/src/jackdawlanding/daemon/local.py
@@ -23,8 +23,8 @@
     """Admits calls, runs them and learns from how they end.
 
     :param context: the daemon's :class:`context.Context`.
-    :param announce: called with a suspect's fingerprint and deaths; tells the
-        other daemons of the service before the caller is answered.
+    :param announce: called after a death; tells the other daemons of the
+        service of the suspects before the caller is answered.
     """
 
     def __init__(self, *, context, announce):
@@ -157,7 +157,7 @@
             after=deaths,
         )
         logger.warning("local: a backend server died; deaths %d.", deaths)
-        self._announce(fingerprint, deaths)
+        self._announce()
 
 
 def make_fingerprint(call):
--- a/src/jackdawlanding/daemon/metrics.py
+++ b/src/jackdawlanding/daemon/metrics.py
@@ -36,10 +36,6 @@
         with self._lock:
             self._events[name] = self._events.get(name, 0) + amount
 
-    def get_count(self, name):
-        """Return a named event counter."""
-        return self._events.get(name, 0)
-
     def list_calls(self):
         """Return ``((rank, outcome, reason), count)`` pairs."""
         with self._lock:
--- a/src/jackdawlanding/daemon/onceonly.py
+++ b/src/jackdawlanding/daemon/onceonly.py
@@ -2,15 +2,12 @@
 
 import collections
 import concurrent.futures
-import logging
 import threading
 import time
 
 from jackdawlanding.daemon import dispatch, joins, messages
 from jackdawlanding.decisions import keys, outcomes, ownership, pauses
 
-logger = logging.getLogger("jackdaw.onceonly")
-
 MAXIMUM_KEPT_BYTES = 1 << 20
 MAXIMUM_KEPT_ANSWER_BYTES = 8192
 DEFAULT_HORIZON_SECONDS = 900.0
--- a/src/jackdawlanding/daemon/peers.py
+++ b/src/jackdawlanding/daemon/peers.py
@@ -214,7 +214,6 @@
         self._allows = allows or (lambda address: True)
         self._connections = {}
         self._lock = threading.Lock()
-        self.bytes_sent = 0
 
     def request(self, *, address, kind, encode, body=b"", timeout):
         """Send one message to the peer at ``address``; see ``PeerConnection``."""
--- a/src/jackdawlanding/decisions/admission.py
+++ b/src/jackdawlanding/decisions/admission.py
@@ -159,13 +159,6 @@
             verdict=None, admitted=admitted, shed=self._cut_waits(now), late=late
         )
 
-    def withdraw(self, *, now, entry):
-        """Take a waiting call back; return whether it was still waiting."""
-        if entry not in self._queue:
-            return False
-        self._queue.remove(entry)
-        return True
-
     def tick(self, *, now):
         """Drop entries that can't be answered in time; admit others."""
         late = self._expire(now)
