--- /dev/null
+++ b/src/jackdawlanding/decisions/directory.py
@@ -0,0 +1,159 @@
+"""What is known of the backend servers: the newest record of each wins.
+
+Records carry the revision of the store that they came from, so that they may
+arrive from the store or from other daemons, in any order and more than once.
+"""
+
+import typing
+
+# Removals are remembered for as long as a daemon may lag behind the store.
+REMOVAL_SECONDS = 120.0
+# An entry that lapsed while the store was away is back this long after its
+# return, or its backend server is gone.
+LAPSE_SECONDS = 1.8
+
+
+class Backend(typing.NamedTuple):
+    """One backend server as it registered itself.
+
+    ``host`` and ``port`` are its address, ``slots`` how many requests it runs
+    at once, ``warm_seconds`` how long it was still slow when it said so, and
+    ``born`` when it started, in Unix milliseconds.
+    """
+
+    instance: str
+    service: str
+    host: str
+    port: int
+    failure_domain: str
+    slots: int
+    is_draining: bool
+    warm_seconds: float = 0.0
+    born: int = 0
+
+
+class Record(typing.NamedTuple):
+    """The newest known state of an instance; ``backend`` is ``None`` when gone."""
+
+    revision: int
+    backend: Backend | None
+    since: float
+
+
+class Directory:
+    """Backend servers by instance, merged by revision.
+
+    ``complete_at`` is the store's revision up to which nothing is missing;
+    ``confirmed_at`` is when, on the local clock, the store vouched for it.
+    """
+
+    def __init__(self):
+        self.complete_at = 0
+        self.confirmed_at = float("-inf")
+        self._records = {}
+        self._by_service = {}
+        self._lapsed = {}
+        self._away_until = float("-inf")
+
+    def __len__(self):
+        return sum(1 for one in self._records.values() if one.backend)
+
+    def get(self, instance):
+        """Return the backend of an instance, or ``None``."""
+        record = self._records.get(instance)
+        return record.backend if record else None
+
+    def get_revision(self, instance):
+        """Return the revision of an instance's record, 0 if unknown."""
+        record = self._records.get(instance)
+        return record.revision if record else 0
+
+    def list_instances(self):
+        """Return the names of all instances that have a backend."""
+        return [name for name, one in self._records.items() if one.backend]
+
+    def list_service(self, service):
+        """Return the backends of a service, those that drain included."""
+        return self._by_service.get(service, ())
+
+    def find_at(self, host, port):
+        """Return the newest backend at an address, or ``None``."""
+        found, newest = None, -1
+        for record in self._records.values():
+            backend = record.backend
+            if backend and (backend.host, backend.port) == (host, port):
+                if record.revision > newest:
+                    found, newest = backend, record.revision
+        return found
+
+    def list_hosts(self):
+        """Return the host of each backend with its failure domain, by host."""
+        return {
+            one.backend.host: one.backend.failure_domain
+            for one in self._records.values()
+            if one.backend
+        }
+
+    def put(self, *, now, instance, revision, backend):
+        """Take in a record; return whether the backend or its state changed."""
+        known = self._records.get(instance)
+        if known and known.revision >= revision:
+            return False
+        if backend is None and known and known.backend and now < self._away_until:
+            self._lapsed[instance] = revision
+            return False
+        self._lapsed.pop(instance, None)
+        self._records[instance] = Record(revision=revision, backend=backend, since=now)
+        before = known.backend if known else None
+        if before == backend:
+            return False
+        self._index(before, backend)
+        return _forget_warmth(before) != _forget_warmth(backend)
+
+    def list_missing(self, *, known_names, revision):
+        """Return instances that a whole listing at ``revision`` does not name."""
+        return [
+            name
+            for name, one in self._records.items()
+            if one.backend and name not in known_names and one.revision <= revision
+        ]
+
+    def note_store_away(self, *, now):
+        """Hold removals for a while: entries lapse while the store is away."""
+        self._away_until = now + LAPSE_SECONDS
+
+    def settle(self, *, now):
+        """Apply removals that were held; forget old ones. Return those applied."""
+        applied = []
+        if now >= self._away_until:
+            held, self._lapsed = self._lapsed, {}
+            for instance, revision in held.items():
+                self.put(now=now, instance=instance, revision=revision, backend=None)
+                applied.append(instance)
+        for name, one in list(self._records.items()):
+            if one.backend is None and now - one.since > REMOVAL_SECONDS:
+                del self._records[name]
+        return applied
+
+    def confirm(self, *, revision, at):
+        """Note that the store vouched for ``revision`` at local time ``at``."""
+        self.complete_at = max(self.complete_at, revision)
+        self.confirmed_at = max(self.confirmed_at, at)
+
+    def list_since(self, revision):
+        """Return ``(instance, record)`` pairs newer than ``revision``."""
+        return [
+            (name, one) for name, one in self._records.items() if one.revision > revision
+        ]
+
+    def _index(self, before, after):
+        for service in {one.service for one in (before, after) if one}:
+            self._by_service[service] = tuple(
+                one.backend
+                for one in self._records.values()
+                if one.backend and one.backend.service == service
+            )
+
+
+def _forget_warmth(backend):
+    return backend and backend._replace(warm_seconds=0.0)
--- a/src/jackdawlanding/decisions/publications.py
+++ b/src/jackdawlanding/decisions/publications.py
@@ -22,6 +22,17 @@
     publication: typing.Any
 
 
+class Decoded(typing.NamedTuple):
+    """What a decoder returns: a publication, or why there is none."""
+
+    ok: typing.Any
+    error: str
+
+    def is_error(self):
+        """Return whether there is no publication."""
+        return self.ok is None
+
+
 class Store:
     """The values in force, one a service; versions only grow.
 
--- /dev/null
+++ b/src/jackdawlanding/mesh/app.py
@@ -0,0 +1,313 @@
+"""Puts a mesh daemon's parts together, runs them and lets them leave."""
+
+import gc
+import logging
+import os
+import random
+import secrets
+import signal
+import socket
+import time
+
+from jackdawlanding.decisions import routes
+from jackdawlanding.mesh import (
+    callers,
+    entry as entries,
+    gossip,
+    hosts,
+    http,
+    links,
+    loop as loops,
+    messages,
+    metrics as counters,
+    records,
+    storereader,
+    streams,
+)
+from jackdawlanding.platform import calls, documents
+from jackdawlanding.settings import mesh as settings_files
+
+logger = logging.getLogger("jackdaw.mesh")
+
+INCARNATION_BYTES = 8
+RELOAD_CHECK_SECONDS = 1.0
+# After a stop request: how long new connections are still served, and the part
+# of the grace in which requests may end.
+ACCEPT_SECONDS = 2.5
+GRACE_SHARE = 0.93
+LEAVE_CHECK_SECONDS = 0.05
+LINK_TICK_SECONDS = 0.1
+LIVENESS_SECONDS = 0.5
+
+
+class MeshDaemon:
+    """One mesh daemon.
+
+    :param settings: a ``MeshSettings``.
+    :param path: the settings file, read again when it changes.
+    """
+
+    def __init__(self, *, settings, path=None):
+        self.settings = settings
+        self._path = path
+        self._stamp = _read_stamp(path)
+        self._left_at = None
+        self.loop = loops.Loop()
+        self.log = records.Log()
+        self.metrics = counters.Metrics()
+        self.incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self._build()
+        self._listen()
+
+    def run(self):
+        """Serve until told to leave."""
+        self._watch_signals()
+        self.log.note(
+            "daemon",
+            "Started.",
+            service=self.settings.service,
+            incarnation=self.incarnation,
+        )
+        self.reader.start()
+        self.gossip.start()
+        self.host.start()
+        self.loop.call_every(LINK_TICK_SECONDS, self._tick)
+        self.loop.call_every(RELOAD_CHECK_SECONDS, self.reload)
+        self.loop.run()
+        self.log.note("daemon", "Stopped.", incarnation=self.incarnation)
+
+    def leave(self):
+        """Take no new callers, finish what is under way, then stop."""
+        if self._left_at is not None:
+            return
+        self._left_at = time.monotonic()
+        self.log.note("daemon", "Leaving.", in_flight=self.entry.in_flight)
+        self.front.is_leaving = True
+        self.host.leave()
+        for link in list(self.server.links.values()):
+            link.send(messages.Leaving(host=self.settings.host))
+        self.loop.call_every(LEAVE_CHECK_SECONDS, self._check_left)
+
+    def reload(self):
+        """Read the settings file again if it has changed."""
+        stamp = _read_stamp(self._path)
+        if stamp == self._stamp:
+            return
+        self._stamp = stamp
+        try:
+            settings = settings_files.load(self._path)
+        except Exception as error:
+            logger.error("settings: the changed file is not used: %s", error)
+            return
+        changed = [
+            name
+            for name in settings._fields
+            if getattr(settings, name) != getattr(self.settings, name)
+        ]
+        self.settings = settings
+        self.log.note("settings", "The settings were read again.", changed=changed)
+
+    def _build(self):
+        settings = self.settings
+        self.knowledge = gossip.Knowledge(
+            decode=documents.decode_configuration, log=self.log
+        )
+        self.host = hosts.Host(
+            loop=self.loop,
+            service=settings.service,
+            address=settings.backend_address,
+            knowledge=self.knowledge,
+            metrics=self.metrics,
+            log=self.log,
+        )
+        self.links = links.LinkPool(
+            loop=self.loop,
+            port=settings.peer_port,
+            hello=messages.Hello(
+                host=settings.host,
+                incarnation=self.incarnation,
+                failure_domain=settings.failure_domain,
+            ),
+            on_news=self._take_news,
+        )
+        self.server = links.LinkServer(
+            loop=self.loop,
+            incarnation=self.incarnation,
+            host=self.host,
+            on_news=self._take_news,
+        )
+        self.gossip = gossip.Gossip(
+            loop=self.loop,
+            knowledge=self.knowledge,
+            links=self.links,
+            own_host=settings.host,
+        )
+        self.reader = storereader.StoreReader(
+            loop=self.loop,
+            address=settings.store_address,
+            own_host=settings.host,
+            knowledge=self.knowledge,
+            metrics=self.metrics,
+            log=self.log,
+        )
+        self.entry = entries.Entry(
+            loop=self.loop,
+            settings=settings,
+            knowledge=self.knowledge,
+            links=self.links,
+            host=self.host,
+            metrics=self.metrics,
+            log=self.log,
+            generator=random.Random(),
+        )
+        self.knowledge.subscribe(self._note_change)
+
+    def _listen(self):
+        settings = self.settings
+        self.front = callers.Front(
+            loop=self.loop, serve=self._serve_caller, find_limits=self._find_limits
+        )
+        self._pages = callers.Front(
+            loop=self.loop, serve=self._serve_page, find_limits=routes.Limits
+        )
+        self._doors = [
+            streams.Listener(
+                loop=self.loop,
+                address=settings.outbound_address,
+                accept=self.front.accept,
+            )
+        ]
+        self._readiness = streams.Listener(
+            loop=self.loop,
+            address=settings.readiness_address,
+            accept=self._pages.accept,
+        )
+        self._metrics_door = streams.Listener(
+            loop=self.loop,
+            address=(settings.host, settings.metrics_port),
+            accept=self._pages.accept,
+        )
+        self._peers = streams.Listener(
+            loop=self.loop,
+            address=(settings.host, settings.peer_port),
+            accept=self.server.accept,
+            silent_millis=streams.SILENT_MILLIS,
+        )
+
+    def _serve_caller(self, request, host, respond):
+        is_inner = host == self.settings.backend_address.host
+        return self.entry.serve(request, is_inner, respond)
+
+    def _serve_page(self, request, host, respond):
+        page = _PAGES.get(request.target.partition("?")[0])
+        if page is None:
+            respond(http.make_text(404, "there is no such page"))
+        else:
+            respond(page(self))
+
+    def _make_readiness(self):
+        if self._left_at is not None:
+            return http.make_text(503, "leaving")
+        if not self.knowledge.is_ready:
+            return http.make_text(503, "no configuration yet")
+        return http.make_text(200, "ready")
+
+    def _make_metrics(self):
+        gauges = {
+            "connections": self.front.connections,
+            "requests_in_flight": self.entry.in_flight,
+            "host_running": self.host.gate.running,
+            "host_queued": self.host.gate.queued,
+            "host_limit": self.host.gate.limit,
+            "configuration_version": self.knowledge.version,
+            "directory_revision": self.knowledge.directory.complete_at,
+            "knowledge_age_seconds": round(
+                min(1e6, self.knowledge.get_age(time.monotonic())), 3
+            ),
+            "suspects": len(self.knowledge.quarantine),
+            "log_lines_held_back": self.log.held_back,
+        }
+        return http.make_text(200, self.metrics.format(gauges))
+
+    def _find_limits(self):
+        table = self.knowledge.table
+        return table.configuration.limits if table else routes.Limits()
+
+    def _take_news(self, link, message):
+        if isinstance(message, messages.Leaving):
+            self.entry.note_leaving(message.host)
+        elif not self.gossip.handle(link, message):
+            logger.warning("links: a message of no use: %s.", type(message).__name__)
+
+    def _note_change(self, what):
+        if what == "directory":
+            self.host.apply_backend()
+
+    def _tick(self):
+        self.links.tick()
+        self.server.sweep()
+
+    def _check_left(self):
+        seconds = time.monotonic() - self._left_at
+        if seconds > ACCEPT_SECONDS:
+            for door in self._doors:
+                door.close()
+            self.front.close_idle()
+            is_done = not (self.front.busy or self.host.in_flight)
+            if is_done or seconds > self.settings.grace * GRACE_SHARE:
+                self.loop.stop()
+
+    def _watch_signals(self):
+        """Wake the loop for signals, which are handled as its events."""
+        reading, writing = socket.socketpair()
+        reading.setblocking(False)
+        writing.setblocking(False)
+        self._signals = (reading, writing)
+        signal.set_wakeup_fd(writing.fileno())
+        for number in _SIGNALS:
+            signal.signal(number, lambda *_: None)
+        self.loop.watch(reading.fileno(), _SignalReader(sock=reading, daemon=self))
+
+
+class _SignalReader:
+    """Turns signal numbers from a socket into calls."""
+
+    def __init__(self, *, sock, daemon):
+        self._sock = sock
+        self._daemon = daemon
+
+    def on_events(self, mask):
+        """Serve the signals that came; called by the loop."""
+        for number in self._sock.recv(64):
+            _SIGNALS[signal.Signals(number)](self._daemon)
+
+
+_SIGNALS = {
+    signal.SIGTERM: MeshDaemon.leave,
+    signal.SIGINT: MeshDaemon.leave,
+    signal.SIGHUP: MeshDaemon.reload,
+}
+_PAGES = {
+    calls.READINESS_PATH: MeshDaemon._make_readiness,
+    "/metrics": MeshDaemon._make_metrics,
+}
+
+
+def _read_stamp(path):
+    """Return what changes when a file changes, or ``None``."""
+    if path is None:
+        return None
+    try:
+        status = os.stat(path)
+    except OSError:
+        return None
+    return status.st_mtime_ns, status.st_size, status.st_ino
+
+
+def main():
+    """Run a mesh daemon with the settings file that the environment names."""
+    path = os.environ.get(settings_files.FILE_VARIABLE, "")
+    settings = settings_files.load(path)
+    records.configure(instance=settings.instance)
+    gc.freeze()
+    MeshDaemon(settings=settings, path=path).run()
--- /dev/null
+++ b/src/jackdawlanding/mesh/backends.py
@@ -0,0 +1,227 @@
+"""Kept HTTP connections to the backend server beside the daemon.
+
+A request is never sent twice here, and its end tells whether any byte of it
+went out.
+"""
+
+import logging
+import time
+import typing
+
+from jackdawlanding.mesh import http, streams
+
+logger = logging.getLogger("jackdaw.backends")
+
+# Backend servers close idle connections; without a Keep-Alive header the
+# connection is left well before the shortest usual timeout.
+IDLE_SECONDS = 4.0
+KEEP_ALIVE_SHARE = 0.6
+# A request that must not be sent twice goes on a connection that was used this
+# recently, or on a new one: an idle one may be closing.
+FRESH_SECONDS = 0.5
+CONNECT_SECONDS = 1.0
+
+
+class Result(typing.NamedTuple):
+    """How a request ended.
+
+    ``response`` is ``None`` where there is no whole one; ``reason`` then tells
+    why, and ``sent`` whether any byte may have arrived.
+    """
+
+    response: http.Response | None
+    reason: str
+    sent: bool
+
+
+class _Connection:
+    """One connection; carries one exchange at a time."""
+
+    def __init__(self, *, pool, stream):
+        self.pool = pool
+        self.stream = stream
+        self.idle_since = 0.0
+        self.idle_seconds = IDLE_SECONDS
+        self.exchange = None
+        self.reader = http.ResponseReader()
+        self.was_opened = False
+        stream.on_open = self._note_open
+        stream.on_data = self._take
+        stream.on_closed = self._note_closed
+
+    def start(self, exchange):
+        self.exchange = exchange
+        self.stream.write(exchange.data)
+
+    def close(self):
+        self.stream.close()
+
+    def _note_open(self):
+        self.was_opened = True
+
+    def _take(self, data):
+        error = None
+        try:
+            self.reader.feed(data)
+        except http.ResponseError as failure:
+            error = failure
+        ready, self.reader.ready = self.reader.ready, []
+        if self.exchange is None:
+            # Nothing was asked: the bytes belong to no request.
+            self.pool.drop(self)
+            return
+        matched = self._match(ready)
+        if matched is not None:
+            tainted = error is not None or matched is not ready[-1]
+            self._finish(matched, tainted)
+        elif error is not None:
+            self._fail("garbled")
+
+    def _match(self, ready):
+        for response in ready:
+            if response.find(self.exchange.id_header) == self.exchange.request_id:
+                return response
+            logger.info("backends: a response that belongs to no request is dropped.")
+        return None
+
+    def _finish(self, response, tainted):
+        exchange, self.exchange = self.exchange, None
+        unsent = self.stream.unsent
+        if self.reader.keep_alive and not tainted and not unsent:
+            self.idle_seconds = _find_idle_seconds(response)
+            self.pool.give_back(self)
+        else:
+            self.pool.drop(self)
+        exchange.end(Result(response=response, reason="", sent=True))
+
+    def _fail(self, reason):
+        exchange, self.exchange = self.exchange, None
+        self.pool.drop(self)
+        if exchange is not None:
+            exchange.end(Result(response=None, reason=reason, sent=self.was_opened))
+
+    def _note_closed(self, was_reset):
+        if self.exchange is None:
+            self.pool.drop(self)
+            return
+        if not was_reset:
+            self.reader.finish()
+            matched = self._match(self.reader.ready)
+            if matched is not None:
+                self._finish(matched, True)
+                return
+        self._fail("died" if self.was_opened else "unreachable")
+
+
+class Exchange:
+    """One request under way; :meth:`cancel` closes its connection.
+
+    :param done: called once with a :class:`Result`, unless cancelled.
+    """
+
+    def __init__(self, *, data, id_header, request_id, done):
+        self.data = data
+        self.id_header = id_header
+        self.request_id = request_id
+        self.connection = None
+        self._done = done
+
+    def end(self, result):
+        """Tell the result, once."""
+        done, self._done = self._done, None
+        if done is not None:
+            done(result)
+
+    def cancel(self):
+        """Close the connection and tell nothing."""
+        self._done = None
+        if self.connection and self.connection.exchange is self:
+            self.connection.exchange = None
+            self.connection.pool.drop(self.connection)
+
+
+class BackendPool:
+    """Connections to one backend server.
+
+    :param loop: the event loop.
+    :param address: a pair of host and port.
+    """
+
+    def __init__(self, *, loop, address):
+        self._loop = loop
+        self.address = address
+        self.opened = 0
+        self._idle = []
+        self._open = set()
+
+    @property
+    def connections(self):
+        """How many connections are open."""
+        return len(self._open)
+
+    def send(self, exchange, *, needs_fresh):
+        """Send a request on an idle connection or a new one.
+
+        :param needs_fresh: whether only a recently used one will do.
+        """
+        connection = self._take_idle(needs_fresh) or self._connect()
+        exchange.connection = connection
+        connection.start(exchange)
+
+    def give_back(self, connection):
+        """Keep a connection that has carried its exchange."""
+        connection.idle_since = time.monotonic()
+        self._idle.append(connection)
+
+    def drop(self, connection):
+        """Close a connection and forget it."""
+        connection.close()
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def sweep(self):
+        """Close connections that have been idle for too long."""
+        now = time.monotonic()
+        for one in [one for one in self._idle if now - one.idle_since > one.idle_seconds]:
+            self.drop(one)
+
+    def close(self):
+        """Close all connections."""
+        for one in list(self._open):
+            self.drop(one)
+
+    def _take_idle(self, needs_fresh):
+        now = time.monotonic()
+        while self._idle:
+            connection = self._idle[-1]
+            idle = now - connection.idle_since
+            if needs_fresh and idle > FRESH_SECONDS:
+                return None
+            self._idle.pop()
+            if idle <= connection.idle_seconds and not streams.has_unread(
+                connection.stream.sock
+            ):
+                return connection
+            self.drop(connection)
+        return None
+
+    def _connect(self):
+        stream = streams.connect(loop=self._loop, address=self.address)
+        connection = _Connection(pool=self, stream=stream)
+        self._open.add(connection)
+        self.opened += 1
+        self._loop.call_later(CONNECT_SECONDS, lambda: self._check_open(connection))
+        return connection
+
+    def _check_open(self, connection):
+        if connection in self._open and not connection.was_opened:
+            connection._fail("unreachable")
+
+
+def _find_idle_seconds(response):
+    for part in response.find(b"keep-alive").split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.isdigit():
+            return max(0.2, int(value) * KEEP_ALIVE_SHARE)
+    return IDLE_SECONDS
--- /dev/null
+++ b/src/jackdawlanding/mesh/entry.py
@@ -0,0 +1,471 @@
+"""The entry's side: finds a request's service, offers it to hosts, answers.
+
+A request that has not run may be offered to another host. One that may have
+run is sent again only if its route is safe and the budgets allow it.
+"""
+
+import logging
+import time
+
+from jackdawlanding.decisions import allowance, outcomes, selection, splits
+from jackdawlanding.mesh import http, messages
+from jackdawlanding.platform import headers
+
+logger = logging.getLogger("jackdaw.entry")
+
+# Hosts that one request is offered to, at most.
+MAXIMUM_OFFERS = 5
+# Of the time to the objective; a refusal that comes later is worth less.
+OFFER_SHARE = 0.125
+# Second tries cause calls further down, which count as repeats there: with
+# three levels of calls a quarter of the allowed ratio keeps each within it.
+BUDGET_SHARE = 0.25
+BUDGET_CEILING = 3.0
+# What is known is too old to tell a caller that a route does not exist.
+STALE_SECONDS = 3.0
+UNREADY_RETRY_SECONDS = 0.5
+NO_INSTANCE_RETRY_SECONDS = 0.3
+# Lowest time worth another offer.
+LEAST_LEFT_SECONDS = 0.02
+SAMPLE_EVERY = 100
+
+_OWN_HEADERS = frozenset(
+    {
+        headers.DEADLINE.lower(),
+        headers.CALLER.lower(),
+        headers.EXPECTED_INSTANCE.lower(),
+    }
+)
+
+
+class Exchange:
+    """One request from its arrival to its answer."""
+
+    __slots__ = (
+        "arrivals",
+        "backend",
+        "deadline",
+        "fallback",
+        "is_inner",
+        "link",
+        "may_have_run",
+        "number",
+        "objective",
+        "offers",
+        "offered_at",
+        "request",
+        "request_id",
+        "respond",
+        "retry_after",
+        "route",
+        "service",
+        "started",
+        "timer",
+        "tried",
+        "_entry",
+    )
+
+    def __init__(self, *, entry, request, respond, is_inner):
+        self._entry = entry
+        self.request = request
+        self.respond = respond
+        self.is_inner = is_inner
+        self.started = time.monotonic()
+        self.request_id = request.find(headers.REQUEST_ID.lower()).decode("latin-1")
+        self.route = None
+        self.service = ""
+        self.deadline = 0.0
+        self.objective = 0.0
+        self.arrivals = 0
+        self.offers = 0
+        self.offered_at = 0.0
+        self.tried = set()
+        self.backend = None
+        self.link = None
+        self.number = 0
+        self.retry_after = 0.0
+        self.timer = None
+        # Whether an attempt may have run, and an answer that is better than none.
+        self.may_have_run = False
+        self.fallback = None
+
+    def cancel(self):
+        """The caller has gone: stop the work."""
+        self._entry.abandon(self, "caller-gone")
+
+
+class LocalLink:
+    """Calls to the host in this process, in the shape of a link."""
+
+    def __init__(self, *, host):
+        self._host = host
+        self._handles = {}
+
+    def call(self, call, respond):
+        """Offer a call to the own host."""
+
+        def finish(reply):
+            self._handles.pop(call.number, None)
+            respond(reply)
+
+        handle = self._host.offer(call, finish)
+        if not handle.is_ended:
+            self._handles[call.number] = handle
+
+    def cancel(self, number):
+        """Give up a call."""
+        handle = self._handles.pop(number, None)
+        if handle is not None:
+            self._host.cancel(handle)
+
+
+class Entry:
+    """Serves the requests of the callers on this instance.
+
+    :param loop: the event loop.
+    :param settings: a ``MeshSettings``.
+    :param knowledge: a ``gossip.Knowledge``.
+    :param links: a ``links.LinkPool``.
+    :param host: the own ``hosts.Host``.
+    """
+
+    def __init__(
+        self, *, loop, settings, knowledge, links, host, metrics, log, generator
+    ):
+        self._loop = loop
+        self._settings = settings
+        self._knowledge = knowledge
+        self._links = links
+        self._host = host
+        self._local = LocalLink(host=host)
+        self._metrics = metrics
+        self._log = log
+        self._selector = selection.Selector(
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            regions=settings.failure_domains,
+            generator=generator,
+        )
+        self._splitter = splits.Splitter(generator=generator)
+        self._budgets = {}
+        self._answered = 0
+        self.in_flight = 0
+        knowledge.subscribe(self._note_change)
+
+    def serve(self, request, is_inner, respond):
+        """Answer a request; return its :class:`Exchange`."""
+        exchange = Exchange(
+            entry=self, request=request, respond=respond, is_inner=is_inner
+        )
+        self.in_flight += 1
+        refusal = self._find_route(exchange)
+        if refusal is not None:
+            self._answer(exchange, refusal, "refused")
+            return exchange
+        left = exchange.deadline - exchange.started
+        exchange.timer = self._loop.call_later(left, lambda: self._expire(exchange))
+        self._get_budget(exchange.service).record_first_try()
+        self._offer(exchange)
+        return exchange
+
+    def abandon(self, exchange, reason):
+        """Give up without an answer; the host closes what it runs."""
+        if exchange.respond is None:
+            return
+        exchange.respond = None
+        self.in_flight -= 1
+        self._stop(exchange)
+        self._metrics.count(f"entry_{reason}")
+        self._log.note(
+            "entry", "A caller left.", request=exchange.request_id, reason=reason
+        )
+
+    def note_leaving(self, host):
+        """Choose a host that stops soon no more."""
+        now = time.monotonic()
+        directory = self._knowledge.directory
+        for instance in directory.list_instances():
+            if directory.get(instance).host == host:
+                self._selector.avoid(
+                    now=now, instance=instance, seconds=self._settings.grace
+                )
+
+    def _find_route(self, exchange):
+        """Fill in the route; return a response where there is none."""
+        knowledge = self._knowledge
+        if not knowledge.is_ready:
+            return make_refusal("the daemon knows no configuration yet")
+        request = exchange.request
+        host = request.find(b"host").decode("latin-1")
+        route = knowledge.table.find(host=host, target=request.target)
+        if route is None:
+            if knowledge.get_age(exchange.started) > STALE_SECONDS:
+                return make_refusal("the configuration may be out of date")
+            return http.make_text(404, "no route matches")
+        exchange.route = route
+        exchange.service = self._splitter.choose(route)
+        left = _parse_millis(request.find(headers.DEADLINE.lower()))
+        limit = min(route.timeout, left) if left is not None else route.timeout
+        exchange.deadline = exchange.started + limit
+        exchange.objective = exchange.started + min(route.objective, limit)
+        return None
+
+    def _offer(self, exchange):
+        """Offer the request to the next host, or give it up."""
+        now = time.monotonic()
+        backend = self._choose(exchange, now)
+        if backend is None:
+            reason = "no-instance" if not exchange.offers else "refused"
+            self._give_up(exchange, reason)
+            return
+        exchange.backend = backend
+        exchange.offers += 1
+        exchange.offered_at = now
+        exchange.tried.add(backend.instance)
+        exchange.number = self._links.make_number()
+        exchange.link = self._find_link(backend)
+        self._selector.record_sent(backend.instance)
+        number = exchange.number
+        exchange.link.call(
+            self._make_call(exchange, now),
+            lambda reply: self._take_reply(exchange, number, reply),
+        )
+
+    def _choose(self, exchange, now):
+        if exchange.offers >= MAXIMUM_OFFERS:
+            return None
+        if exchange.deadline - now < LEAST_LEFT_SECONDS:
+            return None
+        return self._selector.choose(
+            now=now,
+            backends=self._knowledge.directory.list_service(exchange.service),
+            kind=exchange.route.name,
+            left=max(0.01, exchange.objective - now),
+            exclude=exchange.tried,
+        )
+
+    def _find_link(self, backend):
+        if (backend.host, backend.port) == tuple(self._host.address):
+            return self._local
+        return self._links.get(backend.host)
+
+    def _make_call(self, exchange, now):
+        request, route = exchange.request, exchange.route
+        flat = []
+        for name, value in http.list_end_to_end(request.headers):
+            if name.lower() not in _OWN_HEADERS:
+                flat += (name, value)
+        return messages.Call(
+            number=exchange.number,
+            instance=exchange.backend.instance,
+            service=exchange.service,
+            route=route.name,
+            method=request.method,
+            target=request.target,
+            headers=flat,
+            body=request.body,
+            has_body=request.has_body,
+            left=exchange.deadline - now,
+            objective=exchange.objective - now,
+            rank=route.rank,
+            is_safe=route.is_safe,
+            is_inner=exchange.is_inner,
+            caller=self._settings.service,
+            request_id=exchange.request_id,
+        )
+
+    def _take_reply(self, exchange, number, reply):
+        now = time.monotonic()
+        instance = exchange.backend.instance
+        load = reply.load if reply.load.limit else None
+        self._selector.record_end(now=now, instance=instance, load=load)
+        if exchange.respond is None or number != exchange.number:
+            return
+        exchange.arrivals += bool(reply.arrived)
+        if exchange.is_inner:
+            self._note_pressure(reply)
+        _OUTCOMES[reply.outcome](self, exchange, reply, now)
+
+    def _take_answer(self, exchange, reply, now):
+        instance = exchange.backend.instance
+        response = http.Response(
+            status=reply.status,
+            headers=tuple(zip(reply.headers[::2], reply.headers[1::2], strict=True)),
+            body=reply.body,
+        )
+        exchange.may_have_run = True
+        if reply.status >= 500:
+            self._selector.record_failure(now=now, instance=instance)
+            if self._may_repeat(exchange):
+                exchange.fallback = response
+                self._repeat(exchange, f"status-{reply.status}")
+                return
+        else:
+            self._selector.record_success(
+                now=now,
+                instance=instance,
+                kind=exchange.route.name,
+                seconds=now - exchange.offered_at,
+            )
+        self._answer(exchange, response, "answered")
+
+    def _take_refusal(self, exchange, reply, now):
+        instance = exchange.backend.instance
+        exchange.retry_after = max(exchange.retry_after, reply.retry_after)
+        if reply.arrived:
+            self._selector.record_failure(now=now, instance=instance)
+            if not self._may_send_again(exchange):
+                self._give_up(exchange, reply.reason)
+                return
+        elif reply.reason in _LOST_REASONS:
+            self._selector.avoid(
+                now=now, instance=instance, seconds=selection.UNREACHABLE_SECONDS
+            )
+        else:
+            self._selector.avoid(now=now, instance=instance)
+        self._offer(exchange)
+
+    def _take_loss(self, exchange, reply, now):
+        instance = exchange.backend.instance
+        self._selector.record_failure(now=now, instance=instance)
+        if reply.reason in _LOST_REASONS:
+            self._selector.avoid(
+                now=now, instance=instance, seconds=selection.UNREACHABLE_SECONDS
+            )
+        exchange.may_have_run = True
+        if self._may_repeat(exchange):
+            self._repeat(exchange, reply.reason)
+        else:
+            self._give_up(exchange, reply.reason)
+
+    def _may_repeat(self, exchange):
+        """Return whether a request that may have run is sent again."""
+        return exchange.route.is_safe and self._may_send_again(exchange)
+
+    def _may_send_again(self, exchange):
+        """Return whether another backend server may be reached."""
+        if exchange.arrivals >= exchange.route.attempts:
+            return False
+        if self._choose(exchange, time.monotonic()) is None:
+            return False
+        return self._get_budget(exchange.service).spend()
+
+    def _repeat(self, exchange, reason):
+        self._metrics.count("entry_repeated")
+        self._log.note(
+            "entry",
+            "A request is sent again.",
+            request=exchange.request_id,
+            route=exchange.route.name,
+            instance=exchange.backend.instance,
+            reason=reason,
+        )
+        self._offer(exchange)
+
+    def _expire(self, exchange):
+        if exchange.respond is None:
+            return
+        self._stop(exchange)
+        response = http.make_text(504, "the time for an answer has passed")
+        self._answer(exchange, response, "timeout")
+
+    def _give_up(self, exchange, reason):
+        """Answer that the request has not run, or that it may have."""
+        if exchange.fallback is not None:
+            response = exchange.fallback
+        elif exchange.may_have_run:
+            response = http.make_text(502, "the backend server's answer was lost")
+        else:
+            response = make_refusal(
+                "no backend server takes the request now",
+                seconds=exchange.retry_after or NO_INSTANCE_RETRY_SECONDS,
+            )
+        self._answer(exchange, response, reason)
+
+    def _answer(self, exchange, response, reason):
+        respond, exchange.respond = exchange.respond, None
+        if respond is None:
+            return
+        self.in_flight -= 1
+        if exchange.timer is not None:
+            exchange.timer.cancel()
+        self._record(exchange, response, reason)
+        respond(response)
+
+    def _record(self, exchange, response, reason):
+        seconds = time.monotonic() - exchange.started
+        route = exchange.route
+        self._metrics.count(f"entry_{reason}")
+        if route is not None and not exchange.is_inner:
+            self._metrics.record_latency(route.rank, seconds)
+        self._answered += 1
+        if reason == "answered" and self._answered % SAMPLE_EVERY:
+            return
+        self._log.note(
+            "entry",
+            "A request was answered.",
+            request=exchange.request_id,
+            route=route.name if route else "",
+            service=exchange.service,
+            inner=exchange.is_inner,
+            instance=exchange.backend.instance if exchange.backend else "",
+            status=response.status,
+            reason=reason,
+            offers=exchange.offers,
+            arrivals=exchange.arrivals,
+            seconds=round(seconds, 4),
+            version=self._knowledge.version,
+            age=round(self._knowledge.get_age(time.monotonic()), 2),
+        )
+
+    def _stop(self, exchange):
+        """Cancel what is under way for an exchange."""
+        if exchange.timer is not None:
+            exchange.timer.cancel()
+        number, exchange.number = exchange.number, 0
+        if exchange.link is not None and number:
+            self._selector.record_end(
+                now=time.monotonic(), instance=exchange.backend.instance
+            )
+            exchange.link.cancel(number)
+
+    def _note_pressure(self, reply):
+        if reply.outcome == outcomes.Outcome.NOT_RUN:
+            self._host.note_inner(1.0)
+        else:
+            self._host.note_inner(reply.load.pressure)
+
+    def _get_budget(self, service):
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = allowance.RetryBudget(
+                ratio=self._settings.retry_ratio * BUDGET_SHARE, ceiling=BUDGET_CEILING
+            )
+        return budget
+
+    def _note_change(self, what):
+        if what == "directory":
+            self._selector.keep(self._knowledge.directory.list_instances())
+
+
+_LOST_REASONS = frozenset(
+    {"unreachable", "down", "gone", "closed", "silent", "no connection", "restarted"}
+)
+_OUTCOMES = {
+    outcomes.Outcome.DONE: Entry._take_answer,
+    outcomes.Outcome.NOT_RUN: Entry._take_refusal,
+    outcomes.Outcome.UNKNOWN: Entry._take_loss,
+}
+
+
+def make_refusal(text, *, seconds=UNREADY_RETRY_SECONDS):
+    """Return a response that tells that the request has not run."""
+    retry_after = (headers.RETRY_AFTER, b"%.2f" % seconds)
+    return http.make_text(503, text, headers=(retry_after,))
+
+
+def _parse_millis(value):
+    try:
+        return max(0.0, float(value) / 1000.0)
+    except ValueError:
+        return None
--- /dev/null
+++ b/src/jackdawlanding/mesh/gossip.py
@@ -0,0 +1,250 @@
+"""What a daemon knows of the fleet, and how daemons tell each other.
+
+A few daemons read the store; what is new goes to some peers at once, which
+pass it on. Each daemon also compares what it knows with one peer a second.
+"""
+
+import logging
+import random
+import time
+
+from jackdawlanding.decisions import directory, publications, quarantine, routes
+from jackdawlanding.mesh import messages
+
+logger = logging.getLogger("jackdaw.gossip")
+
+DIGEST_SECONDS = 1.0
+FANOUT = 3
+SUSPECT_SECONDS = 120.0
+CONFIGURATION = "configuration"
+
+
+class Knowledge:
+    """Backend servers, the configuration in force and suspects.
+
+    :param decode: turns the operator's document into a ``routes.Configuration``,
+        raises ``ValueError``.
+    :param log: a ``records.Log``.
+    """
+
+    def __init__(self, *, decode, log):
+        self.directory = directory.Directory()
+        self.quarantine = quarantine.Quarantine(hold_seconds=SUSPECT_SECONDS)
+        self.table = None
+        self.adopted_at = float("-inf")
+        self._decode = decode
+        self._log = log
+        self._store = publications.Store(decode=self._try_decode)
+        self._listeners = []
+
+    @property
+    def version(self):
+        """The version of the configuration in force, 0 where there is none."""
+        return self._store.version(CONFIGURATION)
+
+    @property
+    def document(self):
+        """The configuration in force as the operator wrote it."""
+        held = self._store.get(CONFIGURATION)
+        return held.data if held else b""
+
+    @property
+    def is_ready(self):
+        """Whether a configuration and the backend servers are known."""
+        return self.table is not None and self.directory.complete_at > 0
+
+    def get_age(self, now):
+        """Return the seconds since the store vouched for what is known."""
+        return now - self.directory.confirmed_at
+
+    def subscribe(self, listener):
+        """Call ``listener(what)`` on each change, with the name of what changed."""
+        self._listeners.append(listener)
+
+    def offer_configuration(self, data, *, source):
+        """Put a document in force if its version is higher; return whether."""
+        change, reason = self._store.offer(service=CONFIGURATION, data=data)
+        if change is publications.Change.REFUSED:
+            self._log.note("config", "A configuration was refused.", reason=reason)
+        if change is not publications.Change.ADOPTED:
+            return False
+        held = self._store.get(CONFIGURATION)
+        self.table = routes.RouteTable(configuration=held.publication)
+        self.adopted_at = time.monotonic()
+        self._log.note(
+            "config", "A configuration is in force.", version=held.version, source=source
+        )
+        self._tell("configuration")
+        return True
+
+    def put(self, *, instance, revision, backend, source):
+        """Take in one record; return whether it changed anything."""
+        changed = self.directory.put(
+            now=time.monotonic(), instance=instance, revision=revision, backend=backend
+        )
+        if changed:
+            self._log.note(
+                "directory",
+                "A backend server changed.",
+                instance=instance,
+                revision=revision,
+                state=_describe(backend),
+                source=source,
+            )
+            self._tell("directory")
+        return changed
+
+    def settle(self):
+        """Apply removals that were held back while the store was away."""
+        for instance in self.directory.settle(now=time.monotonic()):
+            self._log.note("directory", "A lapsed entry is gone.", instance=instance)
+            self._tell("directory")
+
+    def record_death(self, fingerprint):
+        """Hold a crash against a request; return its count."""
+        deaths = self.quarantine.record_death(
+            now=time.monotonic(), fingerprint=fingerprint
+        )
+        self._tell("suspects")
+        return deaths
+
+    def learn_suspects(self, suspects):
+        """Take in what a peer tells; return whether anything was new."""
+        now = time.monotonic()
+        fresh = [
+            self.quarantine.learn(
+                now=now, fingerprint=fingerprint, deaths=deaths, left=left
+            )
+            for fingerprint, deaths, left in suspects
+        ]
+        return any(fresh)
+
+    def _try_decode(self, data, *, service):
+        try:
+            return publications.Decoded(ok=self._decode(data), error="")
+        except ValueError as error:
+            return publications.Decoded(ok=None, error=str(error))
+
+    def _tell(self, what):
+        for listener in self._listeners:
+            listener(what)
+
+
+class Gossip:
+    """Exchanges news with peers.
+
+    :param loop: the event loop.
+    :param knowledge: a :class:`Knowledge`.
+    :param links: a ``links.LinkPool``.
+    :param own_host: this daemon's host, which is never asked.
+    """
+
+    def __init__(self, *, loop, knowledge, links, own_host, generator=None):
+        self._loop = loop
+        self._knowledge = knowledge
+        self._links = links
+        self._own_host = own_host
+        self._random = generator or random.Random()
+        self._is_due = False
+        self._told_revision = 0
+        self._actions = {
+            messages.Digest: self._answer_digest,
+            messages.News: self._take_news,
+        }
+        knowledge.subscribe(self._note_change)
+
+    def start(self):
+        """Begin to compare with peers."""
+        self._loop.call_later(self._random.random(), self._compare)
+
+    def handle(self, link, message):
+        """Serve a message of a peer; return whether it was gossip."""
+        action = self._actions.get(type(message))
+        if action is not None:
+            action(link, message)
+        return action is not None
+
+    def _note_change(self, what):
+        """Tell some peers soon; several changes go together."""
+        if not self._is_due:
+            self._is_due = True
+            self._loop.call_soon(self._push)
+
+    def _push(self):
+        self._is_due = False
+        since = self._told_revision
+        self._told_revision = self._knowledge.directory.complete_at
+        news = self._make_news(since, with_configuration=True)
+        for host in self._choose_hosts(FANOUT):
+            self._links.get(host).tell(news)
+
+    def _compare(self):
+        self._loop.call_later(
+            DIGEST_SECONDS * self._random.uniform(0.8, 1.2), self._compare
+        )
+        digest = self._make_digest()
+        for host in self._choose_hosts(1):
+            self._links.get(host).tell(digest)
+
+    def _choose_hosts(self, count):
+        hosts = self._knowledge.directory.list_hosts()
+        hosts.pop(self._own_host, None)
+        names = sorted(hosts)
+        return self._random.sample(names, min(count, len(names)))
+
+    def _make_digest(self):
+        knowledge = self._knowledge
+        return messages.Digest(
+            revision=knowledge.directory.complete_at,
+            age=min(knowledge.get_age(time.monotonic()), 1e6),
+            version=knowledge.version,
+            suspects=len(knowledge.quarantine),
+        )
+
+    def _make_news(self, since, *, with_configuration):
+        knowledge = self._knowledge
+        now = time.monotonic()
+        return messages.News(
+            since=since,
+            revision=knowledge.directory.complete_at,
+            age=min(knowledge.get_age(now), 1e6),
+            records=[
+                (name, record.revision, record.backend)
+                for name, record in knowledge.directory.list_since(since)
+            ],
+            configuration=knowledge.document if with_configuration else b"",
+            suspects=knowledge.quarantine.export(now=now)[-64:],
+        )
+
+    def _answer_digest(self, link, digest):
+        knowledge = self._knowledge
+        is_newer = knowledge.directory.complete_at > digest.revision
+        has_configuration = knowledge.version > digest.version
+        is_fresher = knowledge.get_age(time.monotonic()) + 0.5 < digest.age
+        has_suspects = len(knowledge.quarantine) > digest.suspects
+        if is_newer or has_configuration or is_fresher or has_suspects:
+            link.send(
+                self._make_news(digest.revision, with_configuration=has_configuration)
+            )
+
+    def _take_news(self, link, news):
+        knowledge = self._knowledge
+        if news.configuration:
+            knowledge.offer_configuration(news.configuration, source="peer")
+        for name, revision, values in news.records:
+            backend = directory.Backend(*values) if values else None
+            knowledge.put(
+                instance=name, revision=revision, backend=backend, source="peer"
+            )
+        if knowledge.directory.complete_at >= news.since:
+            knowledge.directory.confirm(
+                revision=news.revision, at=time.monotonic() - news.age
+            )
+        if knowledge.learn_suspects(news.suspects):
+            self._note_change("suspects")
+
+
+def _describe(backend):
+    if backend is None:
+        return "gone"
+    return "draining" if backend.is_draining else "ready"
--- /dev/null
+++ b/src/jackdawlanding/mesh/hosts.py
@@ -0,0 +1,366 @@
+"""The host's side: the only way in to the backend server beside the daemon.
+
+It admits by slots, keeps the queue, notices crashes, and tells of each call
+whether it ran.
+"""
+
+import logging
+import time
+
+from jackdawlanding.decisions import outcomes, quarantine as quarantines, slots
+from jackdawlanding.mesh import backends, http, messages, streams
+from jackdawlanding.platform import headers
+
+logger = logging.getLogger("jackdaw.host")
+
+NOT_RUN = outcomes.Outcome.NOT_RUN
+UNKNOWN = outcomes.Outcome.UNKNOWN
+DONE = outcomes.Outcome.DONE
+# A request that was in flight at so many crashes runs no more (the platform's
+# rule on requests that crash what runs them).
+MAXIMUM_DEATHS = 3
+# Connections that break together within this time are one crash.
+CRASH_SECONDS = 0.15
+CRASH_CHECK_SECONDS = 0.02
+PROBE_SECONDS = 0.25
+SWEEP_SECONDS = 0.05
+# Weight of the newest call in the pressure's moving average.
+PRESSURE_WEIGHT = 0.05
+
+
+class Handle:
+    """One call at this host."""
+
+    __slots__ = ("call", "exchange", "fingerprint", "is_ended", "job", "respond")
+
+    def __init__(self, *, call, respond):
+        self.call = call
+        self.respond = respond
+        self.job = None
+        self.exchange = None
+        self.fingerprint = None
+        self.is_ended = False
+
+
+class Host:
+    """Runs calls at one backend server.
+
+    :param loop: the event loop.
+    :param service: the service of the backend server.
+    :param address: its address.
+    :param knowledge: a ``gossip.Knowledge``.
+    :param metrics: a ``metrics.Metrics``.
+    """
+
+    def __init__(self, *, loop, service, address, knowledge, metrics, log):
+        self._loop = loop
+        self.service = service
+        self.address = address
+        self._knowledge = knowledge
+        self._metrics = metrics
+        self._log = log
+        self._pool = backends.BackendPool(loop=loop, address=address)
+        self.gate = slots.SlotGate(slots=1)
+        self.is_up = True
+        self.is_leaving = False
+        self._running = set()
+        self._died = []
+        self._is_checking = False
+        self._pressure = 0.0
+
+    @property
+    def backend(self):
+        """The backend server's newest entry, or ``None``."""
+        return self._knowledge.directory.find_at(*self.address)
+
+    @property
+    def in_flight(self):
+        """How many calls run or wait."""
+        return len(self._running) + self.gate.queued
+
+    def start(self):
+        """Begin to look after the queue and the connections."""
+        self._loop.call_every(SWEEP_SECONDS, self._sweep)
+
+    def offer(self, call, respond):
+        """Run a call, now or from the queue; ``respond(reply)`` is called once."""
+        handle = Handle(call=call, respond=respond)
+        refusal = self._find_refusal(handle)
+        if refusal:
+            self._refuse(handle, refusal)
+            return handle
+        now = time.monotonic()
+        handle.job = slots.Job(
+            kind=call.route,
+            rank=call.rank,
+            is_inner=call.is_inner,
+            deadline=now + call.left,
+            objective=now + call.objective,
+            token=handle,
+        )
+        offer = self.gate.offer(now=now, job=handle.job)
+        if offer.verdict is slots.Verdict.ADMITTED:
+            self._run(handle)
+        elif offer.verdict is slots.Verdict.REFUSED:
+            self._refuse(handle, "full", retry_after=offer.retry_after)
+        for job in offer.evicted:
+            self._refuse(job.token, "evicted", retry_after=offer.retry_after)
+        return handle
+
+    def cancel(self, handle):
+        """Drop a call whose caller has gone."""
+        if handle.is_ended:
+            return
+        handle.is_ended = True
+        if handle.exchange is None:
+            self.gate.withdraw(handle.job)
+            return
+        handle.exchange.cancel()
+        self._release(handle, is_good=False)
+        self._admit_next()
+
+    def leave(self):
+        """Hand back what waits; what runs goes on."""
+        self.is_leaving = True
+        self._hand_back("leaving")
+
+    def apply_backend(self):
+        """Take in the backend server's newest entry."""
+        backend = self.backend
+        if backend is None:
+            return
+        if backend.slots != self.gate.slots:
+            self.gate.slots = backend.slots
+            logger.info("host: %s has %d slots.", backend.instance, backend.slots)
+        if backend.is_draining:
+            self._hand_back("draining")
+
+    def note_inner(self, pressure):
+        """Learn from a call of the backend server how pressed its target is."""
+        self._pressure += PRESSURE_WEIGHT * (pressure - self._pressure)
+
+    def make_load(self):
+        """Return this host's load, as replies carry it."""
+        gate = self.gate
+        return messages.Load(
+            running=gate.running,
+            queued=gate.queued,
+            limit=gate.limit if self.is_up else 0,
+            seconds=gate.seconds,
+            pressure=self._pressure,
+        )
+
+    def _find_refusal(self, handle):
+        """Return why a call can't run here, or ``""``."""
+        call = handle.call
+        if self.is_leaving:
+            return "leaving"
+        if not self.is_up:
+            return "down"
+        if call.service != self.service:
+            return "other-service"
+        backend = self._knowledge.directory.get(call.instance)
+        if backend is not None and backend.is_draining:
+            return "draining"
+        quarantine = self._knowledge.quarantine
+        if len(quarantine):
+            handle.fingerprint = make_fingerprint(call)
+            deaths = quarantine.count_deaths(
+                now=time.monotonic(), fingerprint=handle.fingerprint
+            )
+            if deaths >= MAXIMUM_DEATHS:
+                return "quarantined"
+        return ""
+
+    def _run(self, handle):
+        call = handle.call
+        left = handle.job.deadline - time.monotonic()
+        pairs = list(zip(call.headers[::2], call.headers[1::2], strict=True))
+        pairs += [
+            (headers.DEADLINE, b"%d" % max(1, int(left * 1000))),
+            (headers.CALLER, call.caller.encode("latin-1")),
+            (headers.EXPECTED_INSTANCE, call.instance.encode("latin-1")),
+        ]
+        handle.exchange = backends.Exchange(
+            data=http.format_request(
+                method=call.method,
+                target=call.target,
+                headers=pairs,
+                body=call.body,
+                has_body=call.has_body,
+            ),
+            id_header=headers.REQUEST_ID.lower(),
+            request_id=call.request_id.encode("latin-1"),
+            done=lambda result: self._finish(handle, result),
+        )
+        self._running.add(handle)
+        self._pool.send(handle.exchange, needs_fresh=not call.is_safe)
+
+    def _finish(self, handle, result):
+        now = time.monotonic()
+        outcome, arrived, reason = _judge(result)
+        self._release(handle, is_good=outcome is DONE)
+        if reason == "unreachable":
+            self._note_down()
+        elif reason == "died":
+            self._note_death(now, handle)
+        elif outcome is DONE and handle.fingerprint:
+            self._knowledge.quarantine.clear(fingerprint=handle.fingerprint)
+        self._end(handle, outcome, arrived, reason, result.response)
+        self._admit_next()
+
+    def _release(self, handle, *, is_good):
+        self._running.discard(handle)
+        self.gate.release(now=time.monotonic(), job=handle.job, is_good=is_good)
+
+    def _admit_next(self):
+        if not self.is_up:
+            return
+        admitted, late = self.gate.admit_next(now=time.monotonic())
+        for job in late:
+            self._refuse(job.token, "late")
+        for job in admitted:
+            self._run(job.token)
+
+    def _refuse(self, handle, reason, *, retry_after=0.0):
+        self._end(handle, NOT_RUN, False, reason, None, retry_after=retry_after)
+
+    def _end(self, handle, outcome, arrived, reason, response, *, retry_after=0.0):
+        if handle.is_ended:
+            return
+        handle.is_ended = True
+        self._metrics.count(f"host_{reason or 'done'}")
+        call = handle.call
+        if reason:
+            self._log.note(
+                "host",
+                "A call ended without an answer.",
+                request=call.request_id,
+                route=call.route,
+                reason=reason,
+                arrived=arrived,
+                running=self.gate.running,
+                queued=self.gate.queued,
+                limit=self.gate.limit,
+                left=round(call.left, 3),
+            )
+        flat = []
+        if response is not None:
+            for pair in http.list_end_to_end(response.headers):
+                flat += pair
+        handle.respond(
+            messages.Reply(
+                number=call.number,
+                outcome=outcome,
+                arrived=arrived,
+                reason=reason,
+                status=response.status if response else 0,
+                headers=flat,
+                body=response.body if response else b"",
+                retry_after=retry_after,
+                load=self.make_load(),
+            )
+        )
+
+    def _hand_back(self, reason):
+        for job in self.gate.drain():
+            self._refuse(job.token, reason)
+
+    def _sweep(self):
+        self._pool.sweep()
+        if self.gate.queued:
+            self._admit_next()
+
+    def _note_death(self, now, handle):
+        """Remember what broke; ask soon whether the backend server crashed."""
+        self._died.append((now, handle.call))
+        if not self._is_checking:
+            self._is_checking = True
+            self._loop.call_later(CRASH_CHECK_SECONDS, self._check_crash)
+
+    def _check_crash(self):
+        self._probe(self._forget_deaths, self._note_crash)
+
+    def _forget_deaths(self):
+        self._is_checking = False
+        self._died.clear()
+
+    def _note_crash(self):
+        self._is_checking = False
+        now = time.monotonic()
+        died, self._died = self._died, []
+        for at, call in died:
+            if now - at > CRASH_SECONDS + CRASH_CHECK_SECONDS:
+                continue
+            deaths = self._knowledge.record_death(make_fingerprint(call))
+            self._log.note(
+                "host",
+                "A request was in flight at a crash.",
+                request=call.request_id,
+                deaths=deaths,
+            )
+        self._note_down()
+
+    def _note_down(self):
+        if not self.is_up:
+            return
+        self.is_up = False
+        self._log.note("host", "The backend server is lost.", dependency="backend")
+        self._hand_back("down")
+        self._loop.call_later(PROBE_SECONDS, self._probe_again)
+
+    def _probe_again(self):
+        self._probe(self._note_up, self._probe_later)
+
+    def _probe_later(self):
+        self._loop.call_later(PROBE_SECONDS, self._probe_again)
+
+    def _note_up(self):
+        self.is_up = True
+        self._log.note("host", "The backend server is back.", dependency="backend")
+
+    def _probe(self, on_open, on_refused):
+        """Open and close a connection to see whether anybody listens."""
+        stream = streams.connect(loop=self._loop, address=self.address)
+        timer = self._loop.call_later(
+            backends.CONNECT_SECONDS, lambda: stream._lose(was_reset=True)
+        )
+
+        def note_open():
+            timer.cancel()
+            stream.close()
+            on_open()
+
+        def note_closed(was_reset):
+            timer.cancel()
+            on_refused()
+
+        stream.on_open = note_open
+        stream.on_closed = note_closed
+
+
+def make_fingerprint(call):
+    """Return the digest by which a repeated request is known."""
+    return quarantines.fingerprint(
+        service=call.service,
+        method=call.method,
+        target=call.target,
+        key=call.caller,
+        body=call.body,
+    )
+
+
+def _judge(result):
+    """Return ``(outcome, arrived, reason)`` of a result of the backend server."""
+    response = result.response
+    if response is None:
+        if not result.sent:
+            return NOT_RUN, False, result.reason
+        return UNKNOWN, True, result.reason
+    if response.status == 421 or response.find(headers.NOT_EXECUTED.lower()):
+        return NOT_RUN, True, "not-executed"
+    if response.find(b"content-encoding"):
+        return UNKNOWN, True, "encoded"
+    if not response.find(headers.SIGNATURE.lower()):
+        return UNKNOWN, True, "unsigned"
+    return DONE, True, ""
--- /dev/null
+++ b/src/jackdawlanding/mesh/links.py
@@ -0,0 +1,489 @@
+"""Links between daemons: the calls of one daemon to another over TCP.
+
+A link that goes silent is replaced. The caller then asks on the new link for
+the replies that it still misses; the host answers with the reply, goes on, or
+tells that the call never came, which then never runs.
+"""
+
+import itertools
+import logging
+import time
+
+from jackdawlanding.decisions import outcomes
+from jackdawlanding.mesh import messages, streams
+
+logger = logging.getLogger("jackdaw.links")
+
+CONNECT_SECONDS = 0.5
+# A link with calls under way that hears nothing asks, then is replaced.
+PING_SECONDS = 0.3
+SILENT_SECONDS = 0.7
+# Tries to reach a silent host go on for as long as a call may wait there.
+RESUME_SECONDS = 3.0
+UNREACHABLE_SECONDS = 1.0
+IDLE_SECONDS = 20.0
+TICK_SECONDS = 0.1
+# Replies of calls that must not run twice are kept until acknowledged.
+KEPT_SECONDS = 5.0
+# A host goes on with the calls of a lost link for this long.
+ORPHAN_SECONDS = 1.5
+FORGOTTEN_SECONDS = 600.0
+NOT_RECEIVED = "not-received"
+NO_LOAD = messages.Load(running=0, queued=0, limit=0, seconds=0.0, pressure=0.0)
+
+
+class Pending:
+    """One call under way on a link."""
+
+    __slots__ = ("call", "respond", "was_sent")
+
+    def __init__(self, *, call, respond):
+        self.call = call
+        self.respond = respond
+        self.was_sent = False
+
+
+def make_failure(number, reason, *, outcome):
+    """Return the reply of a call that got none."""
+    return messages.Reply(
+        number=number,
+        outcome=outcome,
+        arrived=outcome is not outcomes.Outcome.NOT_RUN,
+        reason=reason,
+        status=0,
+        headers=[],
+        body=b"",
+        retry_after=0.0,
+        load=NO_LOAD,
+    )
+
+
+class OutLink:
+    """The calling side of the link to one host.
+
+    :param loop: the event loop.
+    :param address: a pair of host and port.
+    :param hello: the :class:`messages.Hello` of this daemon.
+    :param on_news: called with the link and each other message.
+    """
+
+    def __init__(self, *, loop, address, hello, on_news):
+        self._loop = loop
+        self.address = address
+        self._hello = hello
+        self._on_news = on_news
+        self._stream = None
+        self._decoder = None
+        self._pending = {}
+        self._acks = []
+        self._peer = ""
+        self._heard_at = 0.0
+        self._opened_at = 0.0
+        self._used_at = time.monotonic()
+        self._asked_at = 0.0
+        self._lost_at = None
+        self._resuming = False
+        self._was_open = False
+        self._refused_until = float("-inf")
+
+    @property
+    def pending(self):
+        """How many calls are under way."""
+        return len(self._pending)
+
+    @property
+    def is_reachable(self):
+        """Whether a call may be sent now."""
+        return self._lost_at is None and time.monotonic() >= self._refused_until
+
+    def call(self, call, respond):
+        """Send a call; ``respond(reply)`` is called once."""
+        if not self.is_reachable:
+            reply = make_failure(
+                call.number, "unreachable", outcome=outcomes.Outcome.NOT_RUN
+            )
+            self._loop.call_soon(lambda: respond(reply))
+            return
+        pending = Pending(call=call, respond=respond)
+        self._pending[call.number] = pending
+        self._send(call)
+        pending.was_sent = self._stream.is_open
+
+    def cancel(self, number):
+        """Give up a call; its reply is dropped."""
+        if self._pending.pop(number, None) and self._stream and self._stream.is_open:
+            self._send(messages.Cancel(number=number))
+
+    def tell(self, message):
+        """Send a message that has no reply, if the host can be reached."""
+        if self.is_reachable:
+            self._send(message)
+
+    def tick(self, now):
+        """Ask a silent host, replace a silent link, close an unused one."""
+        if self._lost_at is not None:
+            self._try_again(now)
+        elif self._stream is None:
+            return
+        elif not self._stream.is_open:
+            if now - self._opened_at > CONNECT_SECONDS:
+                self._lose("no connection")
+        elif self._is_silent(now):
+            self._lose("silent")
+        elif self._acks:
+            acks, self._acks = self._acks, []
+            self._send(messages.Ack(numbers=acks))
+        elif not self._pending and now - self._used_at > IDLE_SECONDS:
+            self.close()
+
+    def close(self):
+        """Close the link; calls under way end as unknown."""
+        if self._stream:
+            self._stream.close()
+            self._stream = None
+        self._fail_all("closed")
+
+    def _is_silent(self, now):
+        if not self._pending:
+            return False
+        if self._asked_at > self._heard_at:
+            return now - self._asked_at > SILENT_SECONDS
+        if now - max(self._heard_at, self._used_at) > PING_SECONDS:
+            self._asked_at = now
+            self._stream.write(messages.encode(messages.Ping(number=0)))
+        return False
+
+    def _send(self, message):
+        if self._stream is None:
+            self._open()
+        self._used_at = time.monotonic()
+        self._stream.write(messages.encode(message))
+
+    def _open(self):
+        self._decoder = messages.Decoder()
+        self._opened_at = self._heard_at = time.monotonic()
+        self._asked_at = 0.0
+        self._stream = streams.connect(loop=self._loop, address=self.address)
+        self._stream.on_open = self._note_open
+        self._stream.on_data = self._take
+        self._stream.on_closed = lambda was_reset: self._lose("closed")
+        self._stream.write(messages.encode(self._hello))
+
+    def _note_open(self):
+        self._heard_at = time.monotonic()
+        self._was_open = True
+        for pending in self._pending.values():
+            pending.was_sent = True
+
+    def _take(self, data):
+        self._heard_at = time.monotonic()
+        try:
+            received = self._decoder.feed(data)
+        except messages.MessageError as error:
+            logger.warning("links: %s: %s", self.address[0], error)
+            self._lose("malformed")
+            return
+        for message in received:
+            self._dispatch(message)
+
+    def _dispatch(self, message):
+        if isinstance(message, messages.Reply):
+            self._finish(message)
+        elif isinstance(message, messages.Welcome):
+            self._note_welcome(message)
+        elif not isinstance(message, messages.Pong):
+            self._on_news(self, message)
+
+    def _finish(self, reply):
+        pending = self._pending.pop(reply.number, None)
+        if pending is None:
+            return
+        if reply.reason == NOT_RECEIVED and pending.call.is_safe:
+            # The host keeps no replies of safe calls: it may have run.
+            reply = reply._replace(outcome=outcomes.Outcome.UNKNOWN, arrived=True)
+        if not pending.call.is_safe and reply.arrived:
+            self._acks.append(reply.number)
+        pending.respond(reply._replace(load=messages.Load(*reply.load)))
+
+    def _note_welcome(self, message):
+        if self._peer and self._peer != message.incarnation:
+            logger.info("links: %s has started anew.", self.address[0])
+            if self._resuming:
+                self._fail_all("restarted")
+        elif self._resuming and self._pending:
+            logger.info("links: %s answers again.", self.address[0])
+            self._send(messages.Resume(numbers=list(self._pending)))
+        self._peer = message.incarnation
+        self._resuming = False
+        self._lost_at = None
+
+    def _lose(self, reason):
+        """Replace a lost link if calls are under way on it."""
+        was_open, self._was_open = self._was_open, False
+        self._stream.close()
+        self._stream = None
+        self._fail_unsent(reason)
+        now = time.monotonic()
+        if not was_open:
+            self._refused_until = now + UNREACHABLE_SECONDS
+            if self._resuming and reason == "closed":
+                # Nobody listens there any more: the process is gone.
+                self._fail_all("gone")
+            return
+        if not self._pending:
+            return
+        if self._lost_at is None:
+            count = len(self._pending)
+            logger.info(
+                "links: %s is lost (%s), %d calls open.", self.address[0], reason, count
+            )
+            self._lost_at = now
+        self._resuming = True
+        self._open()
+
+    def _fail_unsent(self, reason):
+        for number, pending in list(self._pending.items()):
+            if not pending.was_sent:
+                del self._pending[number]
+                pending.respond(
+                    make_failure(number, reason, outcome=outcomes.Outcome.NOT_RUN)
+                )
+
+    def _try_again(self, now):
+        if now - self._lost_at > RESUME_SECONDS or not self._pending:
+            self._refused_until = now + UNREACHABLE_SECONDS
+            if self._stream:
+                self._stream.close()
+                self._stream = None
+            self._fail_all("unreachable")
+        elif self._stream is None:
+            self._open()
+        elif now - self._opened_at > CONNECT_SECONDS:
+            self._stream.close()
+            self._open()
+
+    def _fail_all(self, reason):
+        pending, self._pending = self._pending, {}
+        self._lost_at = None
+        self._resuming = False
+        for number, one in pending.items():
+            one.respond(make_failure(number, reason, outcome=outcomes.Outcome.UNKNOWN))
+
+
+class LinkPool:
+    """The calling sides of all links, by host."""
+
+    def __init__(self, *, loop, port, hello, on_news):
+        self._loop = loop
+        self._port = port
+        self._hello = hello
+        self._on_news = on_news
+        self._links = {}
+        self._numbers = itertools.count(1)
+
+    def make_number(self):
+        """Return a number that no other call of this process has."""
+        return next(self._numbers)
+
+    def get(self, host):
+        """Return the link to a host."""
+        link = self._links.get(host)
+        if link is None:
+            link = self._links[host] = OutLink(
+                loop=self._loop,
+                address=(host, self._port),
+                hello=self._hello,
+                on_news=self._on_news,
+            )
+        return link
+
+    def list_links(self):
+        """Return all links."""
+        return list(self._links.values())
+
+    def tick(self):
+        """Look after all links."""
+        now = time.monotonic()
+        for link in list(self._links.values()):
+            link.tick(now)
+
+    def keep(self, hosts):
+        """Drop unused links to other hosts."""
+        for host in set(self._links) - set(hosts):
+            if not self._links[host].pending:
+                self._links.pop(host).close()
+
+
+class _Served:
+    """One call that this host serves for another daemon."""
+
+    __slots__ = ("ended_at", "handle", "is_safe", "link", "reply")
+
+    def __init__(self, *, link, is_safe):
+        self.link = link
+        self.is_safe = is_safe
+        self.handle = None
+        self.reply = None
+        self.ended_at = 0.0
+
+
+class InLink:
+    """The host's side of one link."""
+
+    def __init__(self, *, server, stream):
+        self._server = server
+        self.stream = stream
+        self._decoder = messages.Decoder()
+        self.hello = None
+        stream.on_data = self._take
+        stream.on_closed = lambda was_reset: server.note_lost(self)
+
+    def send(self, message):
+        """Send a message; on a lost link nothing happens."""
+        self.stream.write(messages.encode(message))
+
+    def _take(self, data):
+        try:
+            received = self._decoder.feed(data)
+        except messages.MessageError as error:
+            logger.warning("links: a peer is cut off: %s", error)
+            self.stream.close()
+            self._server.note_lost(self)
+            return
+        for message in received:
+            if self.stream.is_closed:
+                return
+            self._server.dispatch(self, message)
+
+
+class LinkServer:
+    """The host's sides of all links, and the calls that came over them.
+
+    :param host: a ``hosts.Host``, which runs the calls.
+    :param on_news: called with the link and each message that is no call.
+    """
+
+    def __init__(self, *, loop, incarnation, host, on_news):
+        self._loop = loop
+        self._incarnation = incarnation
+        self._host = host
+        self._on_news = on_news
+        self._links = {}
+        self._served = {}
+        # Incarnations some of whose calls were dropped, by when.
+        self._forgotten = {}
+        self._actions = {
+            messages.Hello: self._greet,
+            messages.Call: self._call,
+            messages.Cancel: self._cancel,
+            messages.Resume: self._resume,
+            messages.Ack: self._acknowledge,
+            messages.Ping: self._answer_ping,
+        }
+
+    @property
+    def links(self):
+        """The links by the caller's incarnation."""
+        return self._links
+
+    def accept(self, stream, host):
+        """Take a new connection; called by a listener."""
+        InLink(server=self, stream=stream)
+
+    def dispatch(self, link, message):
+        """Serve one message of a link."""
+        action = self._actions.get(type(message))
+        if action is None:
+            self._on_news(link, message)
+        elif link.hello is None and action != self._greet:
+            logger.warning("links: a peer that did not say who it is is cut off.")
+            link.stream.close()
+        else:
+            action(link, message)
+
+    def note_lost(self, link):
+        """Go on with the calls of a lost link for a while, then drop them."""
+        if link.hello and self._links.get(link.hello.incarnation) is link:
+            self._loop.call_later(ORPHAN_SECONDS, lambda: self._drop_orphans(link))
+
+    def sweep(self):
+        """Forget replies that were kept for long enough."""
+        now = time.monotonic()
+        for key, served in list(self._served.items()):
+            if served.reply and now - served.ended_at > KEPT_SECONDS:
+                self._forgotten[key[0]] = now
+                del self._served[key]
+        for incarnation, at in list(self._forgotten.items()):
+            if now - at > FORGOTTEN_SECONDS:
+                del self._forgotten[incarnation]
+
+    def _greet(self, link, hello):
+        older = self._links.get(hello.incarnation)
+        link.hello = hello
+        self._links[hello.incarnation] = link
+        if older is not None and older is not link:
+            # What still arrives on the older link must not start a call.
+            older.stream.close()
+            for key, served in self._served.items():
+                if key[0] == hello.incarnation:
+                    served.link = link
+        link.send(messages.Welcome(incarnation=self._incarnation))
+
+    def _call(self, link, call):
+        key = (link.hello.incarnation, call.number)
+        if key in self._served:
+            logger.warning("links: call %d came twice.", call.number)
+            return
+        served = self._served[key] = _Served(link=link, is_safe=call.is_safe)
+        served.handle = self._host.offer(
+            call, lambda reply: self._finish(key, served, reply)
+        )
+
+    def _finish(self, key, served, reply):
+        served.link.send(reply)
+        if served.is_safe or not reply.arrived:
+            if not served.link.stream.is_closed:
+                self._served.pop(key, None)
+                return
+        served.reply = reply
+        served.handle = None
+        served.ended_at = time.monotonic()
+
+    def _cancel(self, link, message):
+        served = self._served.pop((link.hello.incarnation, message.number), None)
+        if served and served.handle:
+            self._host.cancel(served.handle)
+
+    def _resume(self, link, message):
+        for number in message.numbers:
+            served = self._served.get((link.hello.incarnation, number))
+            if served is None:
+                link.send(self._make_unknown(link.hello.incarnation, number))
+            elif served.reply is not None:
+                link.send(served.reply)
+
+    def _make_unknown(self, incarnation, number):
+        """Return the reply for a call that this host does not know."""
+        if incarnation in self._forgotten:
+            return make_failure(number, "forgotten", outcome=outcomes.Outcome.UNKNOWN)
+        return make_failure(number, NOT_RECEIVED, outcome=outcomes.Outcome.NOT_RUN)
+
+    def _acknowledge(self, link, message):
+        for number in message.numbers:
+            self._served.pop((link.hello.incarnation, number), None)
+
+    def _answer_ping(self, link, message):
+        link.send(messages.Pong(number=message.number))
+
+    def _drop_orphans(self, link):
+        incarnation = link.hello.incarnation
+        if self._links.get(incarnation) is not link:
+            return
+        del self._links[incarnation]
+        self._forgotten[incarnation] = time.monotonic()
+        for key, served in list(self._served.items()):
+            if key[0] != incarnation:
+                continue
+            del self._served[key]
+            if served.handle:
+                self._host.cancel(served.handle)
--- /dev/null
+++ b/src/jackdawlanding/mesh/messages.py
@@ -0,0 +1,188 @@
+"""Messages between daemons: MessagePack arrays, each headed by its kind."""
+
+import typing
+
+import msgpack
+
+MAXIMUM_BYTES = 96 << 20
+
+
+class Hello(typing.NamedTuple):
+    """The first message of a link: who opened it."""
+
+    host: str
+    incarnation: str
+    failure_domain: str
+
+
+class Call(typing.NamedTuple):
+    """A request for the backend server beside the receiver.
+
+    Times are seconds that are left. ``headers`` is a flat sequence of names
+    and values. ``is_inner`` tells that a backend server made the request.
+    """
+
+    number: int
+    instance: str
+    service: str
+    route: str
+    method: str
+    target: str
+    headers: list
+    body: bytes
+    has_body: bool
+    left: float
+    objective: float
+    rank: int
+    is_safe: bool
+    is_inner: bool
+    caller: str
+    request_id: str
+
+
+class Load(typing.NamedTuple):
+    """A host's load: requests that run and wait, their limit, seconds each
+    takes, and the share of late or refused work further down (0 to 1)."""
+
+    running: int
+    queued: int
+    limit: int
+    seconds: float
+    pressure: float
+
+
+class Reply(typing.NamedTuple):
+    """The end of a call.
+
+    ``outcome`` is the value of an ``outcomes.Outcome``; ``arrived`` tells that
+    the request reached the backend server, whether it ran or not.
+    """
+
+    number: int
+    outcome: int
+    arrived: bool
+    reason: str
+    status: int
+    headers: list
+    body: bytes
+    retry_after: float
+    load: Load
+
+
+class Cancel(typing.NamedTuple):
+    """The caller of a call has gone or given up."""
+
+    number: int
+
+
+class Resume(typing.NamedTuple):
+    """On a new link: calls of a lost one whose replies are still wanted."""
+
+    numbers: list
+
+
+class Welcome(typing.NamedTuple):
+    """Answers a :class:`Hello`."""
+
+    incarnation: str
+
+
+class Ack(typing.NamedTuple):
+    """Replies that came, of calls that must not run twice."""
+
+    numbers: list
+
+
+class Ping(typing.NamedTuple):
+    """Asks for a :class:`Pong`, so that a silent link is noticed."""
+
+    number: int
+
+
+class Pong(typing.NamedTuple):
+    """Answers a :class:`Ping`."""
+
+    number: int
+
+
+class Digest(typing.NamedTuple):
+    """What the sender knows; the receiver answers with news, if it has any.
+
+    ``revision`` is the store's revision that the sender is complete up to and
+    ``age`` how many seconds ago the store vouched for it.
+    """
+
+    revision: int
+    age: float
+    version: int
+    suspects: int
+
+
+class News(typing.NamedTuple):
+    """Records after ``since`` up to ``revision``, and what else is newer.
+
+    ``records`` holds ``(instance, revision, backend)``, ``configuration`` the
+    operator's document or ``b""``, ``suspects`` ``(fingerprint, deaths, left)``.
+    """
+
+    since: int
+    revision: int
+    age: float
+    records: list
+    configuration: bytes
+    suspects: list
+
+
+class Leaving(typing.NamedTuple):
+    """The sender stops soon and takes no new calls."""
+
+    host: str
+
+
+KINDS = (
+    Hello,
+    Welcome,
+    Call,
+    Reply,
+    Cancel,
+    Resume,
+    Ack,
+    Ping,
+    Pong,
+    Digest,
+    News,
+    Leaving,
+)
+_NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
+_pack = msgpack.Packer(autoreset=True).pack
+
+
+class MessageError(Exception):
+    """Bytes of a peer that are no message; its link must be closed."""
+
+
+def encode(message):
+    """Return the bytes of a message."""
+    return _pack((_NUMBERS[type(message)], *message))
+
+
+class Decoder:
+    """Cuts a byte stream into messages."""
+
+    def __init__(self):
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MAXIMUM_BYTES)
+
+    def feed(self, data):
+        """Return the whole messages that ``data`` completes.
+
+        :raises MessageError: the bytes are malformed.
+        """
+        messages = []
+        try:
+            self._unpacker.feed(data)
+            for values in self._unpacker:
+                kind = KINDS[values[0]]
+                messages.append(kind(*values[1:]))
+        except (ValueError, TypeError, IndexError, msgpack.UnpackException) as error:
+            raise MessageError(f"a peer's message can't be read: {error!r}") from error
+        return messages
--- /dev/null
+++ b/src/jackdawlanding/platform/calls.py
@@ -0,0 +1,29 @@
+"""The store's calls: paths and queries."""
+
+import urllib.parse
+
+READINESS_PATH = "/jackdawlanding/readiness"
+_KEY_PATH = "/jackdawlanding/kv-key"
+_RANGE_PATH = "/jackdawlanding/kv-range"
+_WATCH_PATH = "/jackdawlanding/kv-watch"
+MAXIMUM_WAIT_MILLIS = 30000
+
+
+def format_key(key):
+    """Return the target that reads one key."""
+    return f"{_KEY_PATH}?{urllib.parse.urlencode({'key': key})}"
+
+
+def format_range(prefix, *, after=""):
+    """Return the target that lists a prefix, beyond the key ``after``."""
+    query = {"prefix": prefix}
+    if after:
+        query["after"] = after
+    return f"{_RANGE_PATH}?{urllib.parse.urlencode(query)}"
+
+
+def format_watch(prefix, *, revision, seconds):
+    """Return the target that waits for changes after a revision."""
+    millis = min(MAXIMUM_WAIT_MILLIS, max(1, int(seconds * 1000)))
+    query = {"prefix": prefix, "after": revision, "waitMs": millis}
+    return f"{_WATCH_PATH}?{urllib.parse.urlencode(query)}"
--- /dev/null
+++ b/src/jackdawlanding/platform/headers.py
@@ -0,0 +1,10 @@
+"""Header names that the platform's callers and backend servers use."""
+
+REQUEST_ID = b"X-Request-Id"
+DEADLINE = b"X-Deadline-Ms"
+# The service that runs where the request began; the daemon always sets it.
+CALLER = b"X-Caller-Service"
+EXPECTED_INSTANCE = b"X-Expected-Instance"
+SIGNATURE = b"X-Server-Signature"
+NOT_EXECUTED = b"X-Not-Executed"
+RETRY_AFTER = b"Retry-After"
--- /dev/null
+++ b/src/jackdawlanding/settings/mesh.py
@@ -0,0 +1,94 @@
+"""Settings of a mesh daemon: a JSON file that is checked whole."""
+
+import json
+import typing
+
+from jackdawlanding import exceptions
+from jackdawlanding.settings import addresses
+
+FILE_VARIABLE = "JACKDAWLANDING_CONFIG"
+
+
+class MeshSettings(typing.NamedTuple):
+    """One mesh daemon's settings; durations are seconds.
+
+    ``host`` is this instance's IP number; peers listen on ``peer_port`` of
+    theirs. ``failure_domains`` maps each failure domain to its region.
+    """
+
+    instance: str
+    service: str
+    host: str
+    region: str
+    failure_domain: str
+    failure_domains: dict
+    backend_address: addresses.Address
+    outbound_address: addresses.Address
+    readiness_address: addresses.Address
+    peer_port: int
+    metrics_port: int
+    store_address: addresses.Address
+    grace: float
+    retry_ratio: float
+
+
+# The field of MeshSettings and its scale, for keys that carry a unit.
+_UNITS = {"grace_seconds": ("grace", 1.0)}
+
+
+def load(path):
+    """Read and check a settings file.
+
+    :raises exceptions.SettingError: it can't be read, or a value can't be used.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            document = json.load(file)
+    except (OSError, ValueError) as error:
+        raise exceptions.SettingError(
+            flag=FILE_VARIABLE,
+            value=path,
+            problem=f"the file can't be read ({error})",
+            remedy="name a JSON file that the daemon may read",
+        ) from error
+    return make(document)
+
+
+def make(document):
+    """Return checked settings from a JSON object; unknown keys are ignored."""
+    values = {}
+    for key, value in document.items():
+        field, scale = _UNITS.get(key, (key, None))
+        if field in MeshSettings._fields:
+            values[field] = _convert(key, field, value, scale)
+    missing = [name for name in MeshSettings._fields if name not in values]
+    if missing:
+        raise exceptions.SettingError(
+            flag=missing[0],
+            value="",
+            problem="the setting is missing",
+            remedy="add it to the settings file",
+        )
+    return MeshSettings(**values)
+
+
+def _convert(key, field, value, scale):
+    kind = MeshSettings.__annotations__[field]
+    try:
+        if kind is addresses.Address:
+            return addresses.Address.parse(value)
+        if kind is float:
+            number = float(value) * (scale or 1.0)
+            if number < 0:
+                raise ValueError("it is below 0")
+            return number
+        if not isinstance(value, kind) or isinstance(value, bool):
+            raise ValueError(f"it is no {kind.__name__}")
+        return value
+    except (TypeError, ValueError, AttributeError) as error:
+        raise exceptions.SettingError(
+            flag=key,
+            value=value,
+            problem=str(error),
+            remedy="correct it in the settings file",
+        ) from error
