Send what is read of the store down two trees; retry no read on a closed connection

Cause: a daemon learnt of a leaving backend server 2.7 s after the store (bound 2.5 s) since random pushes missed it and pulls come once a second; removals were also held back after reads that failed on a connection closed while idle. Ruled out: the store's own delay (two daemons knew after 0.25 s). Change: readers send news, or that there are none, down two trees; the host refuses what is gone; a request that provably never runs gets 503 at its timeout.

--- a/src/jackdawlanding/decisions/readers.py
+++ b/src/jackdawlanding/decisions/readers.py
@@ -16,13 +16,18 @@
 _KEY = b"readers of the store"
 
 
+def order(hosts):
+    """Return hosts in the order in which they read the store."""
+    return rendezvous.order(_KEY, hosts)
+
+
 def find_position(*, host, hosts):
     """Return a host's place in the order of readers, 0 first.
 
     A host that isn't among ``hosts`` comes last.
     """
-    order = rendezvous.order(_KEY, hosts)
-    return order.index(host) if host in order else len(order)
+    places = order(hosts)
+    return places.index(host) if host in places else len(places)
 
 
 def find_due(*, position, age):
--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -149,6 +149,7 @@
             knowledge=self.knowledge,
             metrics=self.metrics,
             log=self.log,
+            spread=self.gossip.spread,
         )
         self.entry = entries.Entry(
             loop=self.loop,
--- a/src/jackdawlanding/mesh/entry.py
+++ b/src/jackdawlanding/mesh/entry.py
@@ -113,10 +113,9 @@
             self._handles[call.number] = handle
 
     def cancel(self, number):
-        """Give up a call."""
+        """Give up a call; return whether it certainly never runs."""
         handle = self._handles.pop(number, None)
-        if handle is not None:
-            self._host.cancel(handle)
+        return handle is not None and self._host.cancel(handle)
 
 
 class Entry:
@@ -365,7 +364,10 @@
     def _expire(self, exchange):
         if exchange.respond is None:
             return
-        self._stop(exchange)
+        never_runs = self._stop(exchange)
+        if exchange.fallback or (never_runs and not exchange.may_have_run):
+            self._give_up(exchange, "timeout")
+            return
         response = http.make_text(504, "the time for an answer has passed")
         self._answer(exchange, response, "timeout")
 
@@ -419,15 +421,16 @@
         )
 
     def _stop(self, exchange):
-        """Cancel what is under way for an exchange."""
+        """Cancel the attempt under way; return whether it never runs."""
         if exchange.timer is not None:
             exchange.timer.cancel()
         number, exchange.number = exchange.number, 0
-        if exchange.link is not None and number:
-            self._selector.record_end(
-                now=time.monotonic(), instance=exchange.backend.instance
-            )
-            exchange.link.cancel(number)
+        if exchange.link is None or not number:
+            return True
+        self._selector.record_end(
+            now=time.monotonic(), instance=exchange.backend.instance
+        )
+        return exchange.link.cancel(number)
 
     def _note_pressure(self, reply):
         if reply.outcome == outcomes.Outcome.NOT_RUN:
--- a/src/jackdawlanding/mesh/fetching.py
+++ b/src/jackdawlanding/mesh/fetching.py
@@ -27,7 +27,8 @@
         """Read a target; ``done(response)`` gets ``None`` where it failed."""
         self._done = done
         self._timer = self._loop.call_later(seconds, self._fail)
-        if self._stream is None or not self._stream.is_open:
+        stream = self._stream
+        if stream is None or not stream.is_open or streams.has_unread(stream.sock):
             self._connect()
         headers = [(b"Host", f"{self._address[0]}:{self._address[1]}".encode())]
         self._stream.write(
--- a/src/jackdawlanding/mesh/gossip.py
+++ b/src/jackdawlanding/mesh/gossip.py
@@ -1,20 +1,28 @@
 """What a daemon knows of the fleet, and how daemons tell each other.
 
-A few daemons read the store; what is new goes to some peers at once, which
-pass it on. Each daemon also compares what it knows with one peer a second.
+A few daemons read the store and send what they read, or that nothing is new,
+down a tree of all daemons. What a daemon learns otherwise goes to some peers
+at once. Each daemon also compares what it knows with one peer a second.
 """
 
 import logging
 import random
 import time
 
-from jackdawlanding.decisions import directory, publications, quarantine, routes
+from jackdawlanding.decisions import (
+    directory,
+    publications,
+    quarantine,
+    routes,
+    trees,
+)
 from jackdawlanding.mesh import messages
 
 logger = logging.getLogger("jackdaw.gossip")
 
 DIGEST_SECONDS = 1.0
 FANOUT = 3
+NO_TREE = -1
 SUSPECT_SECONDS = 120.0
 CONFIGURATION = "configuration"
 
@@ -146,7 +154,10 @@
         self._own_host = own_host
         self._random = generator or random.Random()
         self._is_due = False
+        self._is_in_tree = False
         self._told_revision = 0
+        self._sent_version = 0
+        self._trees = ()
         self._actions = {
             messages.Digest: self._answer_digest,
             messages.News: self._take_news,
@@ -164,19 +175,41 @@
             action(link, message)
         return action is not None
 
+    def spread(self, tree):
+        """Send what the store vouched for down a tree, from its root."""
+        knowledge = self._knowledge
+        is_new = knowledge.version > self._sent_version
+        news = self._make_news(
+            self._told_revision, with_configuration=is_new, tree=tree
+        )
+        self._told_revision = knowledge.directory.complete_at
+        self._sent_version = knowledge.version
+        self._forward(news)
+
+    def _forward(self, news):
+        for host in self._find_tree(news.tree).list_children(self._own_host):
+            self._links.get(host).send(news)
+
+    def _find_tree(self, number):
+        if not self._trees:
+            hosts = self._knowledge.directory.list_hosts()
+            self._trees = trees.plant(hosts)
+        return self._trees[number]
+
     def _note_change(self, what):
         """Tell some peers soon; several changes go together."""
-        if not self._is_due:
+        if what == "directory":
+            self._trees = ()
+        if not self._is_due and not self._is_in_tree:
             self._is_due = True
             self._loop.call_soon(self._push)
 
     def _push(self):
         self._is_due = False
-        since = self._told_revision
+        news = self._make_news(self._told_revision, with_configuration=True)
         self._told_revision = self._knowledge.directory.complete_at
-        news = self._make_news(since, with_configuration=True)
         for host in self._choose_hosts(FANOUT):
-            self._links.get(host).tell(news)
+            self._links.get(host).send(news)
 
     def _compare(self):
         self._loop.call_later(
@@ -184,7 +217,7 @@
         )
         digest = self._make_digest()
         for host in self._choose_hosts(1):
-            self._links.get(host).tell(digest)
+            self._links.get(host).send(digest)
 
     def _choose_hosts(self, count):
         hosts = self._knowledge.directory.list_hosts()
@@ -201,10 +234,11 @@
             suspects=len(knowledge.quarantine),
         )
 
-    def _make_news(self, since, *, with_configuration):
+    def _make_news(self, since, *, with_configuration, tree=NO_TREE):
         knowledge = self._knowledge
         now = time.monotonic()
         return messages.News(
+            tree=tree,
             since=since,
             revision=knowledge.directory.complete_at,
             age=min(knowledge.get_age(now), 1e6),
@@ -228,6 +262,18 @@
             )
 
     def _take_news(self, link, news):
+        self._is_in_tree = news.tree != NO_TREE
+        try:
+            self._apply(news)
+        finally:
+            self._is_in_tree = False
+        if news.tree != NO_TREE:
+            self._forward(news)
+        if self._knowledge.directory.complete_at < news.revision:
+            # News in between were missed.
+            link.send(self._make_digest())
+
+    def _apply(self, news):
         knowledge = self._knowledge
         if news.configuration:
             knowledge.offer_configuration(news.configuration, source="peer")
--- a/src/jackdawlanding/mesh/hosts.py
+++ b/src/jackdawlanding/mesh/hosts.py
@@ -108,16 +108,16 @@
         return handle
 
     def cancel(self, handle):
-        """Drop a call whose caller has gone."""
+        """Drop a call whose caller has gone; return whether it never runs."""
         if handle.is_ended:
-            return
+            return False
         handle.is_ended = True
         if handle.exchange is None:
-            self.gate.withdraw(handle.job)
-            return
+            return self.gate.withdraw(handle.job)
         handle.exchange.cancel()
         self._release(handle, is_good=False)
         self._admit_next()
+        return False
 
     def leave(self):
         """Hand back what waits; what runs goes on."""
@@ -128,6 +128,7 @@
         """Take in the backend server's newest entry."""
         backend = self.backend
         if backend is None:
+            self._hand_back("gone")
             return
         if backend.slots != self.gate.slots:
             self.gate.slots = backend.slots
@@ -159,7 +160,10 @@
             return "down"
         if call.service != self.service:
             return "other-service"
-        backend = self._knowledge.directory.get(call.instance)
+        directory = self._knowledge.directory
+        backend = directory.get(call.instance)
+        if backend is None and directory.get_revision(call.instance):
+            return "gone"
         if backend is not None and backend.is_draining:
             return "draining"
         quarantine = self._knowledge.quarantine
--- a/src/jackdawlanding/mesh/links.py
+++ b/src/jackdawlanding/mesh/links.py
@@ -110,11 +110,21 @@
         pending.was_sent = self._stream.is_open
 
     def cancel(self, number):
-        """Give up a call; its reply is dropped."""
-        if self._pending.pop(number, None) and self._stream and self._stream.is_open:
+        """Give up a call; return whether it certainly never runs."""
+        pending = self._pending.pop(number, None)
+        if pending is None:
+            return False
+        if self._stream is not None and self._stream.is_open:
             self._send(messages.Cancel(number=number))
+        elif not pending.was_sent:
+            # What waits for the connection must not go out any more.
+            self._stream.close()
+            self._stream = None
+            self._fail_unsent("unreachable")
+            return True
+        return False
 
-    def tell(self, message):
+    def send(self, message):
         """Send a message that has no reply, if the host can be reached."""
         if self.is_reachable:
             self._send(message)
--- a/src/jackdawlanding/mesh/messages.py
+++ b/src/jackdawlanding/mesh/messages.py
@@ -121,10 +121,12 @@
 class News(typing.NamedTuple):
     """Records after ``since`` up to ``revision``, and what else is newer.
 
+    ``tree`` numbers the tree that the news goes down, -1 for none.
     ``records`` holds ``(instance, revision, backend)``, ``configuration`` the
     operator's document or ``b""``, ``suspects`` ``(fingerprint, deaths, left)``.
     """
 
+    tree: int
     since: int
     revision: int
     age: float
--- a/src/jackdawlanding/mesh/records.py
+++ b/src/jackdawlanding/mesh/records.py
@@ -77,7 +77,7 @@
     def _make_line(self, part, text, **fields):
         line = {
             "at": round(time.time(), 4),
-            "instance": self._instance,
+            "daemon": self._instance,
             "part": part,
             "text": text,
             **fields,
--- a/src/jackdawlanding/mesh/storereader.py
+++ b/src/jackdawlanding/mesh/storereader.py
@@ -12,6 +12,9 @@
 
 CHECK_SECONDS = 0.1
 ANSWER_SECONDS = 1.5
+# The answer of a waiting read tells of the moment it was sent, which is at most
+# so long ago: a slow store included, twice a round trip between regions.
+TRANSIT_SECONDS = 0.25
 # The prefix that holds the configuration and the backend servers.
 EVERYTHING = ""
 STATUS_OK = 200
@@ -24,10 +27,12 @@
     :param loop: the event loop.
     :param address: the store's address.
     :param own_host: this daemon's host, for its place among the readers.
+    :param spread: called with a reader's place after each of its reads.
     """
 
-    def __init__(self, *, loop, address, own_host, knowledge, metrics, log):
+    def __init__(self, *, loop, address, own_host, knowledge, metrics, log, spread):
         self._loop = loop
+        self._spread = spread
         self._own_host = own_host
         self._knowledge = knowledge
         self._metrics = metrics
@@ -141,12 +146,18 @@
             self._knowledge.put(
                 instance=name, revision=revision, backend=None, source="store"
             )
-        directory.confirm(revision=revision, at=self._sent_at)
+        self._confirm(revision)
 
     def _take_events(self, page):
         for item in page.items:
             self._apply(item)
-        self._knowledge.directory.confirm(revision=page.revision, at=self._sent_at)
+        self._confirm(page.revision)
+
+    def _confirm(self, revision):
+        at = max(self._sent_at, time.monotonic() - TRANSIT_SECONDS)
+        self._knowledge.directory.confirm(revision=revision, at=at)
+        if self._position < readers.READERS:
+            self._spread(self._position)
 
     def _apply(self, item):
         if item.key == documents.CONFIGURATION_KEY:
