Prefer the own region while it is likely to answer in time; send a configuration once

Ruled out: the trees' own messages. Change: a share of the objective for each distance; pushes carry what is new.

--- a/src/jackdawlanding/decisions/selection.py
+++ b/src/jackdawlanding/decisions/selection.py
@@ -1,16 +1,19 @@
 """Choice of the instance that a request is offered to.
 
-The nearest instance that is expected to answer well within the objective is
-taken; if none is, the one that is expected to answer first. Expectations come
-from the load that each reply carries and from what is outstanding.
+An instance of the own failure domain is taken if it is expected to answer well
+within the objective, else the best of the region if it is likely to, else the
+best of all: bytes between regions are paid for. Expectations come from the load
+that each reply carries and from what is outstanding.
 """
 
 import random
 import typing
 
 WEIGHT = 0.2
-# An instance is good enough when it is expected to need this share of the time.
-COMFORT_SHARE = 0.4
+# An instance is good enough when it is expected to need at most this share of
+# the time to the objective. Durations spread by half of their mean, so that more
+# than the larger share often ends late.
+COMFORT_SHARES = (0.4, 0.75, 1.0)
 # After a failed connection or a refusal an instance is passed over so long.
 AVOID_SECONDS = 0.25
 UNREACHABLE_SECONDS = 1.0
@@ -103,20 +106,24 @@
             tier = self.find_tier(backend.failure_domain)
             if tier.order > farthest:
                 continue
-            expected = self._expect(now, backend, kind, left, tier)
-            is_avoided = self._get(backend.instance).avoid_until > now
-            is_good = not is_avoided and expected <= left * COMFORT_SHARE
-            key = (
-                is_avoided,
-                not is_good,
-                tier.order if is_good else 0,
-                expected,
-                self._random.random(),
-            )
+            key = self._rate(now, backend, kind, left, tier)
             if best_key is None or key < best_key:
                 best, best_key = backend, key
         return best
 
+    def _rate(self, now, backend, kind, left, tier):
+        """Return the sort key of a candidate, best first."""
+        expected = self._expect(now, backend, kind, left, tier)
+        is_avoided = self._get(backend.instance).avoid_until > now
+        is_good = not is_avoided and expected <= left * COMFORT_SHARES[tier.order]
+        return (
+            is_avoided,
+            not is_good,
+            tier.order if is_good else 0,
+            expected,
+            self._random.random(),
+        )
+
     def record_sent(self, instance):
         """Count a request on its way to an instance."""
         self._get(instance).outstanding += 1
--- a/src/jackdawlanding/mesh/gossip.py
+++ b/src/jackdawlanding/mesh/gossip.py
@@ -156,7 +156,7 @@
         self._is_due = False
         self._is_in_tree = False
         self._told_revision = 0
-        self._sent_version = 0
+        self._told_version = 0
         self._trees = ()
         self._actions = {
             messages.Digest: self._answer_digest,
@@ -177,14 +177,7 @@
 
     def spread(self, tree):
         """Send what the store vouched for down a tree, from its root."""
-        knowledge = self._knowledge
-        is_new = knowledge.version > self._sent_version
-        news = self._make_news(
-            self._told_revision, with_configuration=is_new, tree=tree
-        )
-        self._told_revision = knowledge.directory.complete_at
-        self._sent_version = knowledge.version
-        self._forward(news)
+        self._forward(self._make_increment(tree=tree))
 
     def _forward(self, news):
         for host in self._find_tree(news.tree).list_children(self._own_host):
@@ -206,8 +199,7 @@
 
     def _push(self):
         self._is_due = False
-        news = self._make_news(self._told_revision, with_configuration=True)
-        self._told_revision = self._knowledge.directory.complete_at
+        news = self._make_increment(tree=NO_TREE)
         for host in self._choose_hosts(FANOUT):
             self._links.get(host).send(news)
 
@@ -234,6 +226,17 @@
             suspects=len(knowledge.quarantine),
         )
 
+    def _make_increment(self, *, tree):
+        """Return what is new since this daemon last sent news."""
+        knowledge = self._knowledge
+        is_new = knowledge.version > self._told_version
+        news = self._make_news(
+            self._told_revision, with_configuration=is_new, tree=tree
+        )
+        self._told_revision = knowledge.directory.complete_at
+        self._told_version = knowledge.version
+        return news
+
     def _make_news(self, since, *, with_configuration, tree=NO_TREE):
         knowledge = self._knowledge
         now = time.monotonic()
