--- a/src/jackdawlanding/decisions/allowance.py
+++ b/src/jackdawlanding/decisions/allowance.py
@@ -50,12 +50,13 @@
 
     :param ratio: tokens earned by a first try.
     :param ceiling: most tokens that can be saved up.
+    :param initial: tokens at the start.
     """
 
-    def __init__(self, *, ratio=0.1, ceiling=10.0):
+    def __init__(self, *, ratio=0.1, ceiling=10.0, initial=0.0):
         self.ratio = ratio
         self.ceiling = ceiling
-        self._tokens = 0.0
+        self._tokens = initial
         self._lock = threading.Lock()
 
     @property
--- a/src/jackdawlanding/decisions/quarantine.py
+++ b/src/jackdawlanding/decisions/quarantine.py
@@ -17,11 +17,19 @@
 
 
 class Suspect(typing.NamedTuple):
-    """A suspect: its deaths and when it is forgotten, in seconds."""
+    """A suspect: its deaths by who saw them, and when it is forgotten.
 
-    deaths: int
+    Daemons that see deaths at the same time add up; told counts don't.
+    """
+
+    seen: dict
     until: float
 
+    @property
+    def deaths(self):
+        """All deaths held against it."""
+        return sum(self.seen.values())
+
 
 class Quarantine:
     """The suspects that a daemon knows of, its own and told ones.
@@ -50,17 +58,23 @@
         most = 1 if once_only else MAXIMUM_DEATHS
         return self.count_deaths(now=now, fingerprint=fingerprint) >= most
 
-    def record_death(self, *, now, fingerprint):
-        """Hold one more death against a request; return its count."""
-        deaths = self.count_deaths(now=now, fingerprint=fingerprint) + 1
-        self._put(now, fingerprint, deaths, self.hold_seconds)
-        return deaths
+    def record_death(self, *, now, fingerprint, origin=""):
+        """Hold one more death against a request; return its count.
+
+        :param origin: who saw it, where daemons count for themselves.
+        """
+        seen = self._get_seen(now, fingerprint)
+        seen[origin] = seen.get(origin, 0) + 1
+        self._put(now, fingerprint, seen, self.hold_seconds)
+        return sum(seen.values())
 
-    def learn(self, *, now, fingerprint, deaths, left):
+    def learn(self, *, now, fingerprint, deaths, left, origin=""):
         """Take in what a peer tells; return whether it was new."""
-        if deaths <= self.count_deaths(now=now, fingerprint=fingerprint):
+        seen = self._get_seen(now, fingerprint)
+        if deaths <= seen.get(origin, 0):
             return False
-        self._put(now, fingerprint, deaths, min(left, self.hold_seconds))
+        seen[origin] = deaths
+        self._put(now, fingerprint, seen, min(left, self.hold_seconds))
         return True
 
     def clear(self, *, fingerprint):
@@ -70,20 +84,36 @@
 
     def export(self, *, now):
         """Return ``(fingerprint, deaths, seconds left)`` of each suspect."""
-        with self._lock:
-            items = list(self._suspects.items())
         return [
             (fingerprint, one.deaths, one.until - now)
-            for fingerprint, one in items
-            if one.until > now
+            for fingerprint, one in self._list_held(now)
         ]
 
-    def _put(self, now, fingerprint, deaths, left):
+    def export_seen(self, *, now):
+        """Return ``(fingerprint, origin, deaths, seconds left)`` of each origin."""
+        return [
+            (fingerprint, origin, deaths, one.until - now)
+            for fingerprint, one in self._list_held(now)
+            for origin, deaths in one.seen.items()
+        ]
+
+    def _list_held(self, now):
+        with self._lock:
+            items = list(self._suspects.items())
+        return [(key, one) for key, one in items if one.until > now]
+
+    def _get_seen(self, now, fingerprint):
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or suspect.until <= now:
+            return {}
+        return dict(suspect.seen)
+
+    def _put(self, now, fingerprint, seen, left):
         with self._lock:
             self._suspects.pop(fingerprint, None)
             if len(self._suspects) >= self.capacity:
                 self._drop_one(now)
-            self._suspects[fingerprint] = Suspect(deaths=deaths, until=now + left)
+            self._suspects[fingerprint] = Suspect(seen=seen, until=now + left)
 
     def _drop_one(self, now):
         """Drop an expired suspect, else the oldest one with the fewest deaths."""
--- a/src/jackdawlanding/decisions/selection.py
+++ b/src/jackdawlanding/decisions/selection.py
@@ -10,10 +10,10 @@
 import typing
 
 WEIGHT = 0.2
-# An instance is good enough when it is expected to need at most this share of
-# the time to the objective. Durations spread by half of their mean, so that more
-# than the larger share often ends late.
-COMFORT_SHARES = (0.4, 0.75, 1.0)
+# Grades of instances, best first: at most so far away, and expected to need at
+# most such a share of the time to the objective. Durations spread by half of
+# their mean, so that what needs more than the second share often ends late.
+GRADES = ((0, 0.4), (1, 0.75), (2, 1.0))
 # After a failed connection or a refusal an instance is passed over so long.
 AVOID_SECONDS = 0.25
 UNREACHABLE_SECONDS = 1.0
@@ -115,14 +115,10 @@
         """Return the sort key of a candidate, best first."""
         expected = self._expect(now, backend, kind, left, tier)
         is_avoided = self._get(backend.instance).avoid_until > now
-        is_good = not is_avoided and expected <= left * COMFORT_SHARES[tier.order]
-        return (
-            is_avoided,
-            not is_good,
-            tier.order if is_good else 0,
-            expected,
-            self._random.random(),
-        )
+        grade = len(GRADES)
+        if not is_avoided:
+            grade = _grade(tier, expected / left)
+        return is_avoided, grade, expected, self._random.random()
 
     def record_sent(self, instance):
         """Count a request on its way to an instance."""
@@ -187,3 +183,11 @@
         if load < limit:
             return 0.0
         return (load - limit + 1) * stats.seconds / limit
+
+
+def _grade(tier, share):
+    """Return the place in ``GRADES`` of an instance at a distance."""
+    for place, (farthest, highest) in enumerate(GRADES):
+        if tier.order <= farthest and share <= highest:
+            return place
+    return len(GRADES)
--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -59,9 +59,10 @@
         self._build()
         self._listen()
 
-    def run(self):
-        """Serve until told to leave."""
-        self._watch_signals()
+    def run(self, *, takes_signals=True):
+        """Serve until told to leave, by a signal too if ``takes_signals``."""
+        if takes_signals:
+            self._watch_signals()
         self.log.note(
             "daemon",
             "Started.",
@@ -107,10 +108,18 @@
         self.settings = settings
         self.log.note("settings", "The settings were read again.", changed=changed)
 
+    def close(self):
+        """Close all that is open, once the loop has stopped."""
+        for door in (*self._doors, self._readiness, self._metrics_door, self._peers):
+            door.close()
+        self.loop.close()
+
     def _build(self):
         settings = self.settings
         self.knowledge = gossip.Knowledge(
-            decode=documents.decode_configuration, log=self.log
+            decode=documents.decode_configuration,
+            log=self.log,
+            origin=self.incarnation,
         )
         self.host = hosts.Host(
             loop=self.loop,
--- a/src/jackdawlanding/mesh/entry.py
+++ b/src/jackdawlanding/mesh/entry.py
@@ -21,6 +21,7 @@
 # three levels of calls a quarter of the allowed ratio keeps each within it.
 BUDGET_SHARE = 0.25
 BUDGET_CEILING = 3.0
+BUDGET_START = 1.0
 # What is known is too old to tell a caller that a route does not exist.
 STALE_SECONDS = 3.0
 UNREADY_RETRY_SECONDS = 0.5
@@ -442,7 +443,9 @@
         budget = self._budgets.get(service)
         if budget is None:
             budget = self._budgets[service] = allowance.RetryBudget(
-                ratio=self._settings.retry_ratio * BUDGET_SHARE, ceiling=BUDGET_CEILING
+                ratio=self._settings.retry_ratio * BUDGET_SHARE,
+                ceiling=BUDGET_CEILING,
+                initial=BUDGET_START,
             )
         return budget
 
--- a/src/jackdawlanding/mesh/gossip.py
+++ b/src/jackdawlanding/mesh/gossip.py
@@ -24,6 +24,7 @@
 FANOUT = 3
 NO_TREE = -1
 SUSPECT_SECONDS = 120.0
+MAXIMUM_SUSPECTS = 64
 CONFIGURATION = "configuration"
 
 
@@ -33,9 +34,11 @@
     :param decode: turns the operator's document into a ``routes.Configuration``,
         raises ``ValueError``.
     :param log: a ``records.Log``.
+    :param origin: names this daemon's own counts of crashes.
     """
 
-    def __init__(self, *, decode, log):
+    def __init__(self, *, decode, log, origin=""):
+        self._origin = origin
         self.directory = directory.Directory()
         self.quarantine = quarantine.Quarantine(hold_seconds=SUSPECT_SECONDS)
         self.table = None
@@ -111,19 +114,28 @@
     def record_death(self, fingerprint):
         """Hold a crash against a request; return its count."""
         deaths = self.quarantine.record_death(
-            now=time.monotonic(), fingerprint=fingerprint
+            now=time.monotonic(), fingerprint=fingerprint, origin=self._origin
         )
         self._tell("suspects")
         return deaths
 
+    def count_deaths(self):
+        """Return how many deaths are known, over all suspects."""
+        held = self.quarantine.export(now=time.monotonic())
+        return sum(deaths for _, deaths, _ in held)
+
     def learn_suspects(self, suspects):
         """Take in what a peer tells; return whether anything was new."""
         now = time.monotonic()
         fresh = [
             self.quarantine.learn(
-                now=now, fingerprint=fingerprint, deaths=deaths, left=left
+                now=now,
+                fingerprint=fingerprint,
+                origin=origin,
+                deaths=deaths,
+                left=left,
             )
-            for fingerprint, deaths, left in suspects
+            for fingerprint, origin, deaths, left in suspects
         ]
         return any(fresh)
 
@@ -223,7 +235,7 @@
             revision=knowledge.directory.complete_at,
             age=min(knowledge.get_age(time.monotonic()), 1e6),
             version=knowledge.version,
-            suspects=len(knowledge.quarantine),
+            suspects=knowledge.count_deaths(),
         )
 
     def _make_increment(self, *, tree):
@@ -250,7 +262,7 @@
                 for name, record in knowledge.directory.list_since(since)
             ],
             configuration=knowledge.document if with_configuration else b"",
-            suspects=knowledge.quarantine.export(now=now)[-64:],
+            suspects=knowledge.quarantine.export_seen(now=now)[-MAXIMUM_SUSPECTS:],
         )
 
     def _answer_digest(self, link, digest):
@@ -258,7 +270,7 @@
         is_newer = knowledge.directory.complete_at > digest.revision
         has_configuration = knowledge.version > digest.version
         is_fresher = knowledge.get_age(time.monotonic()) + 0.5 < digest.age
-        has_suspects = len(knowledge.quarantine) > digest.suspects
+        has_suspects = knowledge.count_deaths() > digest.suspects
         if is_newer or has_configuration or is_fresher or has_suspects:
             link.send(
                 self._make_news(digest.revision, with_configuration=has_configuration)
--- a/src/jackdawlanding/mesh/loop.py
+++ b/src/jackdawlanding/mesh/loop.py
@@ -81,6 +81,15 @@
         """Return from :meth:`run` after the present turn."""
         self._running = False
 
+    def close(self):
+        """Close the sockets of all handlers that have one, and the loop."""
+        for handler in list(self._handlers.values()):
+            sock = getattr(handler, "sock", None)
+            if sock is not None:
+                sock.close()
+        self._handlers.clear()
+        self._epoll.close()
+
     def run(self):
         """Serve until stopped."""
         while self._running:
--- a/src/jackdawlanding/mesh/messages.py
+++ b/src/jackdawlanding/mesh/messages.py
@@ -109,7 +109,8 @@
     """What the sender knows; the receiver answers with news, if it has any.
 
     ``revision`` is the store's revision that the sender is complete up to and
-    ``age`` how many seconds ago the store vouched for it.
+    ``age`` how many seconds ago the store vouched for it. ``suspects`` counts the
+    deaths that it knows of.
     """
 
     revision: int
@@ -123,7 +124,8 @@
 
     ``tree`` numbers the tree that the news goes down, -1 for none.
     ``records`` holds ``(instance, revision, backend)``, ``configuration`` the
-    operator's document or ``b""``, ``suspects`` ``(fingerprint, deaths, left)``.
+    operator's document or ``b""``, ``suspects``
+    ``(fingerprint, origin, deaths, left)``.
     """
 
     tree: int
--- /dev/null
+++ b/tests/meshes.py
@@ -0,0 +1,151 @@
+"""Small meshes in one process: daemons on loopback addresses, each on a thread."""
+
+import contextlib
+import socket
+import threading
+import time
+
+import standins
+
+from jackdawlanding.mesh import app
+from jackdawlanding.settings import addresses, mesh as settings_files
+
+REGIONS = {"a1": "a", "a2": "a", "b1": "b"}
+
+
+def find_port(host="127.0.0.1"):
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        return sock.getsockname()[1]
+
+
+class Member:
+    """One daemon beside one backend server.
+
+    :param host: a loopback address that no other member has.
+    """
+
+    def __init__(self, *, store, upstream, host, zone="a1", peer_port):
+        self.upstream = upstream
+        self.host = host
+        self.zone = zone
+        self.store = store
+        self.ports = {name: find_port(host) for name in ("outbound", "ready", "pages")}
+        self.peer_port = peer_port
+        self.daemon = None
+        self._thread = None
+
+    def start(self):
+        document = {
+            "instance": f"member-{self.host}",
+            "service": self.upstream.service,
+            "host": self.host,
+            "region": REGIONS[self.zone],
+            "failure_domain": self.zone,
+            "failure_domains": REGIONS,
+            "backend_address": f"{self.host}:{self.upstream.port}",
+            "outbound_address": f"{self.host}:{self.ports['outbound']}",
+            "readiness_address": f"{self.host}:{self.ports['ready']}",
+            "peer_port": self.peer_port,
+            "metrics_port": self.ports["pages"],
+            "store_address": self.store.address,
+            "grace_seconds": 4,
+            "retry_ratio": 0.2,
+        }
+        self.daemon = app.MeshDaemon(settings=settings_files.make(document))
+        self._thread = threading.Thread(
+            target=self.daemon.run, kwargs={"takes_signals": False}, daemon=True
+        )
+        self._thread.start()
+        return self
+
+    def call(self, target, **fields):
+        return standins.call_at(self.host, self.ports["outbound"], target=target, **fields)
+
+    def run_in_loop(self, action):
+        """Run an action on the daemon's own thread and return its result."""
+        done = threading.Event()
+        results = []
+
+        def run():
+            results.append(action())
+            done.set()
+
+        self.daemon.loop.call_soon(run)
+        if not done.wait(5):
+            raise AssertionError("the daemon's loop does not turn")
+        return results[0]
+
+    def leave(self):
+        self.run_in_loop(self.daemon.leave)
+        self._thread.join(8)
+        return not self._thread.is_alive()
+
+    def stop(self):
+        if self._thread is None:
+            return
+        self.daemon.loop.stop()
+        self._thread.join(5)
+        self.daemon.close()
+        self._thread = None
+
+
+class Mesh(contextlib.ExitStack):
+    """A store, backend servers of given services, and a daemon beside each.
+
+    :param services: pairs of a service and a failure domain.
+    :param routes: the first configuration's routes.
+    """
+
+    def __init__(self, *, services, routes, slots=4, start=True):
+        super().__init__()
+        self.store = standins.Store()
+        self.callback(self.store.stop)
+        names = sorted({service for service, _ in services})
+        self.store.put(
+            "op/config", standins.make_configuration(1, *routes, services=names)
+        )
+        peer_port = find_port()
+        self.members = []
+        for number, (service, zone) in enumerate(services):
+            host = f"127.0.1.{number + 1}"
+            upstream = standins.Upstream(
+                service=service, instance=f"i-{number}", slots=slots, host=host
+            )
+            self.callback(upstream.stop)
+            member = Member(
+                store=self.store,
+                upstream=upstream,
+                host=host,
+                zone=zone,
+                peer_port=peer_port,
+            )
+            self.store.put(
+                f"servers/{upstream.instance}", upstream.entry(host=host, zone=zone)
+            )
+            self.members.append(member)
+        if start:
+            for member in self.members:
+                member.start()
+                self.callback(member.stop)
+            self.wait_ready()
+
+    def wait_ready(self, count=None):
+        """Wait until all members know all backend servers."""
+        expected = len(self.members) if count is None else count
+        wait_until(
+            lambda: all(
+                one.daemon.knowledge.is_ready
+                and len(one.daemon.knowledge.directory) == expected
+                for one in self.members
+            )
+        )
+
+
+def wait_until(condition, *, seconds=6.0):
+    """Wait until a condition holds; fail after a bound."""
+    end = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError(f"nothing came of it within {seconds} s")
+        time.sleep(0.01)
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,91 @@
+import random
+import unittest
+
+from jackdawlanding.decisions import directory
+
+HOST = "10.0.0.1"
+
+
+def make_backend(instance="i-1", *, is_draining=False, host=HOST, service="desk", **more):
+    return directory.Backend(
+        instance=instance,
+        service=service,
+        host=host,
+        port=80,
+        failure_domain="a1",
+        slots=4,
+        is_draining=is_draining,
+        **more,
+    )
+
+
+def put(one, revision, backend, *, instance="i-1", now=0.0):
+    return one.put(now=now, instance=instance, revision=revision, backend=backend)
+
+
+class DirectoryTest(unittest.TestCase):
+    def setUp(self):
+        self.one = directory.Directory()
+
+    def test_the_highest_revision_wins_in_any_order(self):
+        records = [
+            (1, make_backend()),
+            (2, make_backend(is_draining=True)),
+            (3, None),
+            (4, make_backend(host="10.0.0.2")),
+        ]
+        for seed in range(20):
+            random.Random(seed).shuffle(records)
+            one = directory.Directory()
+            for revision, backend in records:
+                put(one, revision, backend)
+                put(one, revision, backend)
+            self.assertEqual(one.get("i-1").host, "10.0.0.2")
+            self.assertEqual(len(one.list_service("desk")), 1)
+
+    def test_a_change_of_service_moves_the_instance(self):
+        put(self.one, 1, make_backend())
+        put(self.one, 2, make_backend(service="bank"))
+        self.assertEqual(self.one.list_service("desk"), ())
+        self.assertEqual(len(self.one.list_service("bank")), 1)
+
+    def test_a_heartbeat_alone_is_no_change(self):
+        self.assertTrue(put(self.one, 1, make_backend(warm_seconds=3.0)))
+        self.assertFalse(put(self.one, 2, make_backend(warm_seconds=1.0)))
+        self.assertEqual(self.one.get_revision("i-1"), 2)
+
+    def test_removals_wait_while_the_store_is_away(self):
+        put(self.one, 1, make_backend())
+        self.one.note_store_away(now=10.0)
+        put(self.one, 2, None, now=10.5)
+        self.assertIsNotNone(self.one.get("i-1"))
+        self.assertEqual(self.one.settle(now=10.0 + directory.LAPSE_SECONDS), ["i-1"])
+        self.assertIsNone(self.one.get("i-1"))
+
+    def test_an_entry_that_comes_back_was_never_gone(self):
+        put(self.one, 1, make_backend())
+        self.one.note_store_away(now=10.0)
+        put(self.one, 2, None, now=10.5)
+        put(self.one, 3, make_backend(), now=11.0)
+        self.assertEqual(self.one.settle(now=20.0), [])
+        self.assertIsNotNone(self.one.get("i-1"))
+
+    def test_a_listing_names_what_is_missing(self):
+        put(self.one, 5, make_backend())
+        put(self.one, 9, make_backend("i-2"), instance="i-2")
+        missing = self.one.list_missing(known_names=set(), revision=7)
+        self.assertEqual(missing, ["i-1"])
+
+    def test_news_since_a_revision(self):
+        put(self.one, 5, make_backend())
+        put(self.one, 6, None, instance="i-2")
+        self.assertEqual([name for name, _ in self.one.list_since(5)], ["i-2"])
+
+    def test_the_newest_instance_at_an_address(self):
+        put(self.one, 5, make_backend())
+        put(self.one, 6, make_backend("i-2"), instance="i-2")
+        self.assertEqual(self.one.find_at(HOST, 80).instance, "i-2")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,123 @@
+"""The adapter: the platform's documents, well formed and not."""
+
+import base64
+import json
+import unittest
+
+import standins
+
+from jackdawlanding.platform import calls, documents
+
+
+def encode(value):
+    return json.dumps(value).encode()
+
+
+def make_entry(**changes):
+    entry = {
+        "service": "desk",
+        "address": "10.0.0.9:8080",
+        "zone": "a1",
+        "version": "v1",
+        "maxConcurrency": 72,
+        "state": "ready",
+        "warmupRemainingMs": 500,
+        "sequence": 4,
+        "born": 1700000000000,
+    }
+    entry.update(changes)
+    return encode({key: value for key, value in entry.items() if value is not ...})
+
+
+class BackendTest(unittest.TestCase):
+    def test_a_proper_entry(self):
+        backend = documents.decode_backend("servers/i-7", make_entry())
+        self.assertEqual(backend.instance, "i-7")
+        self.assertEqual((backend.host, backend.port), ("10.0.0.9", 8080))
+        self.assertEqual(backend.slots, 72)
+        self.assertEqual(backend.warm_seconds, 0.5)
+        self.assertFalse(backend.is_draining)
+
+    def test_entries_of_other_writers_name_nobody(self):
+        for changes in (
+            {"service": ...},
+            {"service": 7},
+            {"address": 7},
+            {"address": "nowhere"},
+            {"maxConcurrency": "72"},
+            {"maxConcurrency": True},
+            {"maxConcurrency": 0},
+            {"state": "resting"},
+            {"state": ...},
+            {"zone": None},
+            {"warmupRemainingMs": "soon"},
+        ):
+            with self.subTest(changes=changes):
+                with self.assertRaises(documents.DocumentError):
+                    documents.decode_backend("servers/i-7", make_entry(**changes))
+        for data in (b"", b"\xff\xfe", b"[]", b"7", b"null"):
+            with self.assertRaises(documents.DocumentError):
+                documents.decode_backend("servers/i-7", data)
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_routes_services_and_limits(self):
+        document = standins.make_configuration(
+            0x1C,
+            standins.make_route("look", split={"desk": 90, "bank": 10}, timeout=1500),
+            standins.make_route("pay", service="bank", kind="unsafe"),
+            services=("desk", "bank"),
+        )
+        found = documents.decode_configuration(encode(document))
+        self.assertEqual(found.version, 28)
+        look, pay = found.routes
+        self.assertEqual(look.timeout, 1.5)
+        self.assertTrue(look.is_safe)
+        self.assertEqual([one.weight for one in look.shares], [90, 10])
+        self.assertFalse(pay.is_safe)
+        self.assertEqual(found.limits.idle_seconds, 1.5)
+
+    def test_damaged_documents_are_refused(self):
+        good = standins.make_configuration(3, standins.make_route("a", service="desk"))
+        unknown = json.loads(json.dumps(good))
+        unknown["resources"][0]["spec"]["routeType"] = "perhaps"
+        empty = json.loads(json.dumps(good))
+        empty["resources"][0]["spec"]["trafficSplit"] = [{"service": "x", "weight": 0}]
+        for data in (encode(good)[:-9], encode(unknown), encode(empty), b"{}", b"[1]"):
+            with self.assertRaises(documents.DocumentError):
+                documents.decode_configuration(data)
+
+
+class PageTest(unittest.TestCase):
+    def test_items_and_events(self):
+        value = base64.b64encode(b"x").decode()
+        item = {"key": "a", "value": value, "revision": 4, "created": 4, "lease": 0}
+        page = documents.decode_page(
+            encode({"items": [item], "hasMore": True, "at": 9})
+        )
+        self.assertEqual((page.revision, page.has_more), (9, True))
+        self.assertEqual(page.items[0].value, b"x")
+        gone = {"key": "b", "revision": 6, "removed": True}
+        page = documents.decode_page(encode({"events": [gone], "at": 9}))
+        self.assertIsNone(page.items[0].value)
+
+    def test_a_value_that_is_not_text_of_bytes_is_empty(self):
+        item = {"key": "a", "value": "&&&", "revision": 4}
+        page = documents.decode_page(encode({"items": [item], "at": 9}))
+        self.assertEqual(page.items[0].value, b"")
+
+    def test_damaged_answers_are_refused(self):
+        for data in (b"", b"{}", b"[]", encode({"items": [{}], "at": 9})):
+            with self.assertRaises(documents.DocumentError):
+                documents.decode_page(data)
+
+
+class CallsTest(unittest.TestCase):
+    def test_targets(self):
+        self.assertIn("after=a%2Fb", calls.format_range("", after="a/b"))
+        self.assertIn("waitMs=30000", calls.format_watch("", revision=3, seconds=90))
+        self.assertIn("waitMs=1", calls.format_watch("", revision=3, seconds=0))
+
+
+if __name__ == "__main__":
+    unittest.main()
