--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -205,8 +205,7 @@
         )
 
     def _serve_caller(self, request, host, respond):
-        is_inner = host == self.settings.backend_address.host
-        return self.entry.serve(request, is_inner, respond)
+        return self.entry.serve(request, respond)
 
     def _serve_page(self, request, host, respond):
         page = _PAGES.get(request.target.partition("?")[0])
--- a/src/jackdawlanding/mesh/entry.py
+++ b/src/jackdawlanding/mesh/entry.py
@@ -17,10 +17,10 @@
 MAXIMUM_OFFERS = 5
 # Of the time to the objective; a refusal that comes later is worth less.
 OFFER_SHARE = 0.125
-# Second tries cause calls further down, which count as repeats there: with
-# three levels of calls a quarter of the allowed ratio keeps each within it.
-BUDGET_SHARE = 0.25
-BUDGET_CEILING = 3.0
+# Of the allowed ratio of repeats: clocks and windows differ between daemons.
+BUDGET_SHARE = 0.8
+# All daemons together may save up about the slack that the platform allows.
+BUDGET_CEILING = 2.0
 BUDGET_START = 1.0
 # What is known is too old to tell a caller that a route does not exist.
 STALE_SECONDS = 3.0
@@ -47,15 +47,16 @@
         "backend",
         "deadline",
         "fallback",
-        "is_inner",
         "link",
         "may_have_run",
         "number",
         "objective",
         "offers",
         "offered_at",
+        "parent",
         "request",
         "request_id",
+        "repeat",
         "respond",
         "retry_after",
         "route",
@@ -66,13 +67,14 @@
         "_entry",
     )
 
-    def __init__(self, *, entry, request, respond, is_inner):
+    def __init__(self, *, entry, request, respond):
         self._entry = entry
         self.request = request
         self.respond = respond
-        self.is_inner = is_inner
         self.started = time.monotonic()
         self.request_id = request.find(headers.REQUEST_ID.lower()).decode("latin-1")
+        # The call that the own backend server runs and that made this request.
+        self.parent = None
         self.route = None
         self.service = ""
         self.deadline = 0.0
@@ -89,6 +91,17 @@
         # Whether an attempt may have run, and an answer that is better than none.
         self.may_have_run = False
         self.fallback = None
+        self.repeat = 0.0
+
+    @property
+    def is_inner(self):
+        """Whether the own backend server made the request."""
+        return self.parent is not None
+
+    @property
+    def rank(self):
+        """The rank of the request that all this is done for."""
+        return self.parent.call.rank if self.parent else self.route.rank
 
     def cancel(self):
         """The caller has gone: stop the work."""
@@ -146,17 +159,17 @@
             regions=settings.failure_domains,
             generator=generator,
         )
+        self._worth = allowance.RepeatWorth(generator=generator)
         self._splitter = splits.Splitter(generator=generator)
         self._budgets = {}
         self._answered = 0
         self.in_flight = 0
         knowledge.subscribe(self._note_change)
 
-    def serve(self, request, is_inner, respond):
+    def serve(self, request, respond):
         """Answer a request; return its :class:`Exchange`."""
-        exchange = Exchange(
-            entry=self, request=request, respond=respond, is_inner=is_inner
-        )
+        exchange = Exchange(entry=self, request=request, respond=respond)
+        exchange.parent = self._host.find_parent(exchange.request_id)
         self.in_flight += 1
         refusal = self._find_route(exchange)
         if refusal is not None:
@@ -164,7 +177,12 @@
             return exchange
         left = exchange.deadline - exchange.started
         exchange.timer = self._loop.call_later(left, lambda: self._expire(exchange))
-        self._get_budget(exchange.service).record_first_try()
+        budget = self._get_budget(exchange.service)
+        budget.record_first_try()
+        if exchange.parent is not None:
+            # The calls of a run that is itself a repeat are repeats too.
+            exchange.repeat = exchange.parent.call.repeat
+            budget.charge(exchange.repeat)
         self._offer(exchange)
         return exchange
 
@@ -267,11 +285,12 @@
             has_body=request.has_body,
             left=exchange.deadline - now,
             objective=exchange.objective - now,
-            rank=route.rank,
+            rank=exchange.rank,
             is_safe=route.is_safe,
             is_inner=exchange.is_inner,
             caller=self._settings.service,
             request_id=exchange.request_id,
+            repeat=1.0 if exchange.arrivals else exchange.repeat,
         )
 
     def _take_reply(self, exchange, number, reply):
@@ -293,6 +312,8 @@
             headers=tuple(zip(reply.headers[::2], reply.headers[1::2], strict=True)),
             body=reply.body,
         )
+        if exchange.may_have_run:
+            self._worth.record(exchange.route.name, is_success=reply.status < 500)
         exchange.may_have_run = True
         if reply.status >= 500:
             self._selector.record_failure(now=now, instance=instance)
@@ -340,7 +361,9 @@
 
     def _may_repeat(self, exchange):
         """Return whether a request that may have run is sent again."""
-        return exchange.route.is_safe and self._may_send_again(exchange)
+        if not exchange.route.is_safe or not self._worth.is_worth(exchange.route.name):
+            return False
+        return self._may_send_again(exchange)
 
     def _may_send_again(self, exchange):
         """Return whether another backend server may be reached."""
@@ -348,7 +371,10 @@
             return False
         if self._choose(exchange, time.monotonic()) is None:
             return False
-        return self._get_budget(exchange.service).spend()
+        if self._get_budget(exchange.service).spend():
+            return True
+        self._metrics.count("entry_budget_spent")
+        return False
 
     def _repeat(self, exchange, reason):
         self._metrics.count("entry_repeated")
@@ -419,6 +445,8 @@
             seconds=round(seconds, 4),
             version=self._knowledge.version,
             age=round(self._knowledge.get_age(time.monotonic()), 2),
+            tokens=round(self._get_budget(exchange.service).tokens, 1),
+            repeat=round(exchange.repeat, 2),
         )
 
     def _stop(self, exchange):
--- a/src/jackdawlanding/mesh/hosts.py
+++ b/src/jackdawlanding/mesh/hosts.py
@@ -63,7 +63,7 @@
         self.gate = slots.SlotGate(slots=1)
         self.is_up = True
         self.is_leaving = False
-        self._running = set()
+        self._running = {}
         self._died = []
         self._is_checking = False
         self._pressure = 0.0
@@ -76,7 +76,14 @@
     @property
     def in_flight(self):
         """How many calls run or wait."""
-        return len(self._running) + self.gate.queued
+        return self.gate.running + self.gate.queued
+
+    def find_parent(self, request_id):
+        """Return the running call whose backend server made a request, or ``None``.
+
+        Backend servers name a call by their own request's id, a dot and more.
+        """
+        return self._running.get(request_id.rpartition(".")[0])
 
     def start(self):
         """Begin to look after the queue and the connections."""
@@ -197,7 +204,7 @@
             request_id=call.request_id.encode("latin-1"),
             done=lambda result: self._finish(handle, result),
         )
-        self._running.add(handle)
+        self._running[call.request_id] = handle
         self._pool.send(handle.exchange, needs_fresh=not call.is_safe)
 
     def _finish(self, handle, result):
@@ -214,7 +221,8 @@
         self._admit_next()
 
     def _release(self, handle, *, is_good):
-        self._running.discard(handle)
+        if self._running.get(handle.call.request_id) is handle:
+            del self._running[handle.call.request_id]
         self.gate.release(now=time.monotonic(), job=handle.job, is_good=is_good)
 
     def _admit_next(self):
--- a/src/jackdawlanding/mesh/messages.py
+++ b/src/jackdawlanding/mesh/messages.py
@@ -19,7 +19,8 @@
     """A request for the backend server beside the receiver.
 
     Times are seconds that are left. ``headers`` is a flat sequence of names
-    and values. ``is_inner`` tells that a backend server made the request.
+    and values. ``is_inner`` tells that a backend server made the request, and
+    ``repeat`` how likely it is that the request was sent before (0 to 1).
     """
 
     number: int
@@ -38,6 +39,7 @@
     is_inner: bool
     caller: str
     request_id: str
+    repeat: float
 
 
 class Load(typing.NamedTuple):
