Pace new work whose own calls come late or find no room; learn from timeouts

Change: a limit a kind of new work, by additive increase and multiplicative decrease on late ends; a timeout counts as a long duration; chained calls leave their failure domain before they wait.

--- a/src/jackdawlanding/decisions/selection.py
+++ b/src/jackdawlanding/decisions/selection.py
@@ -2,8 +2,10 @@
 
 An instance of the own failure domain is taken if it is expected to answer well
 within the objective, else the best of the region if it is likely to, else the
-best of all: bytes between regions are paid for. Expectations come from the load
-that each reply carries and from what is outstanding.
+best of all: bytes between regions are paid for. One of a chain of calls leaves
+its failure domain as soon as it would wait there, since their times add up.
+Expectations come from the load that each reply carries and from what is
+outstanding.
 """
 
 import random
@@ -14,16 +16,25 @@
 # most such a share of the time to the objective. Durations spread by half of
 # their mean, so that what needs more than the second share often ends late.
 GRADES = ((0, 0.4), (1, 0.75), (2, 1.0))
+# A chained call stays in its failure domain up to this share of the limit there.
+CALM_SHARE = 0.85
+# Seconds that a chained call must save, by distance, to be sent so far.
+DETOUR_SECONDS = (0.0, 0.004, 0.02)
 # After a failed connection or a refusal an instance is passed over so long.
 AVOID_SECONDS = 0.25
 UNREACHABLE_SECONDS = 1.0
-# A failing instance counts as slower by this share of the objective.
+# A failing instance counts as slower by this share of the objective, or of so
+# many seconds for a chained call.
 FAILURE_COST = 2.0
+FAILURE_SECONDS = 0.3
+CALM_FAILURES = 0.1
 FAILURE_WEIGHT = 0.15
 FAILURE_FORGET_SECONDS = 5.0
 # What is known of a load fades: another request may have ended since.
 LOAD_SECONDS = 1.0
 FIRST_SECONDS = 0.02
+# A duration that nothing has confirmed for so long counts for less.
+FADE_SECONDS = 1.0
 
 
 class Tier(typing.NamedTuple):
@@ -90,12 +101,15 @@
             return SAME_REGION
         return OTHER_REGION
 
-    def choose(self, *, now, backends, kind, left, exclude=(), farthest=2):
+    def choose(
+        self, *, now, backends, kind, left, is_chained=False, exclude=(), farthest=2
+    ):
         """Return a backend, or ``None`` where none may be tried.
 
         :param backends: ``directory.Backend`` s of the service.
         :param kind: names the duration's average, such as the route.
         :param left: seconds until the objective.
+        :param is_chained: whether others wait for this call to make their next.
         :param exclude: instances already tried.
         :param farthest: the order of the farthest tier to try.
         """
@@ -106,20 +120,35 @@
             tier = self.find_tier(backend.failure_domain)
             if tier.order > farthest:
                 continue
-            key = self._rate(now, backend, kind, left, tier)
+            key = self._rate(now, backend, kind, None if is_chained else left, tier)
             if best_key is None or key < best_key:
                 best, best_key = backend, key
         return best
 
     def _rate(self, now, backend, kind, left, tier):
-        """Return the sort key of a candidate, best first."""
-        expected = self._expect(now, backend, kind, left, tier)
-        is_avoided = self._get(backend.instance).avoid_until > now
+        """Return the sort key of a candidate, best first.
+
+        Without ``left`` the call is one of a chain.
+        """
+        stats = self._get(backend.instance)
+        expected = self._expect(now, backend, kind, left or FAILURE_SECONDS, tier)
+        is_avoided = stats.avoid_until > now
         grade = len(GRADES)
-        if not is_avoided:
+        if left is None:
+            expected += DETOUR_SECONDS[tier.order]
+            grade = not (tier is SAME_DOMAIN and self._is_calm(now, stats, backend))
+        elif not is_avoided:
             grade = _grade(tier, expected / left)
         return is_avoided, grade, expected, self._random.random()
 
+    def _is_calm(self, now, stats, backend):
+        limit = stats.limit or backend.slots
+        is_failing = (
+            stats.failures > CALM_FAILURES
+            and now - stats.failed_at < FAILURE_FORGET_SECONDS
+        )
+        return not is_failing and self._find_load(now, stats) < limit * CALM_SHARE
+
     def record_sent(self, instance):
         """Count a request on its way to an instance."""
         self._get(instance).outstanding += 1
@@ -138,8 +167,12 @@
         stats = self._get(instance)
         stats.failures *= 1 - FAILURE_WEIGHT
         stats.avoid_until = float("-inf")
-        known = self._durations.get((instance, kind), seconds)
-        self._durations[instance, kind] = known + WEIGHT * (seconds - known)
+        self.record_slow(now=now, instance=instance, kind=kind, seconds=seconds)
+
+    def record_slow(self, *, now, instance, kind, seconds):
+        """Learn that an answer took so long, or longer if it was given up."""
+        known, _ = self._durations.get((instance, kind), (seconds, now))
+        self._durations[instance, kind] = (known + WEIGHT * (seconds - known), now)
 
     def record_failure(self, *, now, instance):
         """Learn from an answer that was lost, spoilt or a failure."""
@@ -169,21 +202,31 @@
     def _expect(self, now, backend, kind, left, tier):
         """Return the seconds until an answer is expected."""
         stats = self._get(backend.instance)
-        usual = self._durations.get((backend.instance, kind), FIRST_SECONDS)
+        usual = self._find_usual(now, stats, (backend.instance, kind))
         expected = tier.seconds + usual + self._find_wait(now, stats, backend)
         if stats.failures > 0.01 and now - stats.failed_at < FAILURE_FORGET_SECONDS:
             expected += stats.failures * FAILURE_COST * max(left, usual)
         return expected
 
+    def _find_usual(self, now, stats, key):
+        """Return the usual seconds; an old figure fades so that it is tried again."""
+        seconds, at = self._durations.get(key, (FIRST_SECONDS, now))
+        if now - at < FADE_SECONDS or stats.outstanding:
+            return seconds
+        return max(FIRST_SECONDS, seconds * FADE_SECONDS / (now - at))
+
     def _find_wait(self, now, stats, backend):
         limit = stats.limit or backend.slots
-        load = stats.outstanding
-        if now - stats.updated_at < LOAD_SECONDS:
-            load = max(load, stats.running + stats.queued)
+        load = self._find_load(now, stats)
         if load < limit:
             return 0.0
         return (load - limit + 1) * stats.seconds / limit
 
+    def _find_load(self, now, stats):
+        if now - stats.updated_at < LOAD_SECONDS:
+            return max(stats.outstanding, stats.running + stats.queued)
+        return stats.outstanding
+
 
 def _grade(tier, share):
     """Return the place in ``GRADES`` of an instance at a distance."""
--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -228,6 +228,7 @@
             "host_running": self.host.gate.running,
             "host_queued": self.host.gate.queued,
             "host_limit": self.host.gate.limit,
+            "host_paced_kinds": len(self.host.paces.list_limits()),
             "configuration_version": self.knowledge.version,
             "directory_revision": self.knowledge.directory.complete_at,
             "knowledge_age_seconds": round(
--- a/src/jackdawlanding/mesh/entry.py
+++ b/src/jackdawlanding/mesh/entry.py
@@ -259,6 +259,7 @@
             backends=self._knowledge.directory.list_service(exchange.service),
             kind=exchange.route.name,
             left=max(0.01, exchange.objective - now),
+            is_chained=exchange.is_inner,
             exclude=exchange.tried,
         )
 
@@ -301,8 +302,6 @@
         if exchange.respond is None or number != exchange.number:
             return
         exchange.arrivals += bool(reply.arrived)
-        if exchange.is_inner:
-            self._note_pressure(reply)
         _OUTCOMES[reply.outcome](self, exchange, reply, now)
 
     def _take_answer(self, exchange, reply, now):
@@ -395,6 +394,12 @@
         if exchange.fallback or (never_runs and not exchange.may_have_run):
             self._give_up(exchange, "timeout")
             return
+        self._selector.record_slow(
+            instance=exchange.backend.instance,
+            kind=exchange.route.name,
+            seconds=time.monotonic() - exchange.offered_at,
+            now=time.monotonic(),
+        )
         response = http.make_text(504, "the time for an answer has passed")
         self._answer(exchange, response, "timeout")
 
@@ -409,8 +414,14 @@
                 "no backend server takes the request now",
                 seconds=exchange.retry_after or NO_INSTANCE_RETRY_SECONDS,
             )
+            self._note_starved(exchange)
         self._answer(exchange, response, reason)
 
+    def _note_starved(self, exchange):
+        """Tell the own host that a call of its run found no capacity."""
+        if exchange.parent is not None and exchange.retry_after:
+            exchange.parent.is_starved = True
+
     def _answer(self, exchange, response, reason):
         respond, exchange.respond = exchange.respond, None
         if respond is None:
@@ -461,12 +472,6 @@
         )
         return exchange.link.cancel(number)
 
-    def _note_pressure(self, reply):
-        if reply.outcome == outcomes.Outcome.NOT_RUN:
-            self._host.note_inner(1.0)
-        else:
-            self._host.note_inner(reply.load.pressure)
-
     def _get_budget(self, service):
         budget = self._budgets.get(service)
         if budget is None:
--- a/src/jackdawlanding/mesh/hosts.py
+++ b/src/jackdawlanding/mesh/hosts.py
@@ -7,7 +7,12 @@
 import logging
 import time
 
-from jackdawlanding.decisions import outcomes, quarantine as quarantines, slots
+from jackdawlanding.decisions import (
+    outcomes,
+    pacing,
+    quarantine as quarantines,
+    slots,
+)
 from jackdawlanding.mesh import backends, http, messages, streams
 from jackdawlanding.platform import headers
 
@@ -24,14 +29,21 @@
 CRASH_CHECK_SECONDS = 0.02
 PROBE_SECONDS = 0.25
 SWEEP_SECONDS = 0.05
-# Weight of the newest call in the pressure's moving average.
-PRESSURE_WEIGHT = 0.05
+PACED_RETRY_SECONDS = 0.25
 
 
 class Handle:
     """One call at this host."""
 
-    __slots__ = ("call", "exchange", "fingerprint", "is_ended", "job", "respond")
+    __slots__ = (
+        "call",
+        "exchange",
+        "fingerprint",
+        "is_ended",
+        "is_starved",
+        "job",
+        "respond",
+    )
 
     def __init__(self, *, call, respond):
         self.call = call
@@ -40,6 +52,8 @@
         self.exchange = None
         self.fingerprint = None
         self.is_ended = False
+        # Whether a call of this run was turned away for want of capacity.
+        self.is_starved = False
 
 
 class Host:
@@ -61,12 +75,12 @@
         self._log = log
         self._pool = backends.BackendPool(loop=loop, address=address)
         self.gate = slots.SlotGate(slots=1)
+        self.paces = pacing.Paces()
         self.is_up = True
         self.is_leaving = False
         self._running = {}
         self._died = []
         self._is_checking = False
-        self._pressure = 0.0
 
     @property
     def backend(self):
@@ -94,7 +108,8 @@
         handle = Handle(call=call, respond=respond)
         refusal = self._find_refusal(handle)
         if refusal:
-            self._refuse(handle, refusal)
+            seconds = PACED_RETRY_SECONDS if refusal == "paced" else 0.0
+            self._refuse(handle, refusal, retry_after=seconds)
             return handle
         now = time.monotonic()
         handle.job = slots.Job(
@@ -143,10 +158,6 @@
         if backend.is_draining:
             self._hand_back("draining")
 
-    def note_inner(self, pressure):
-        """Learn from a call of the backend server how pressed its target is."""
-        self._pressure += PRESSURE_WEIGHT * (pressure - self._pressure)
-
     def make_load(self):
         """Return this host's load, as replies carry it."""
         gate = self.gate
@@ -155,7 +166,6 @@
             queued=gate.queued,
             limit=gate.limit if self.is_up else 0,
             seconds=gate.seconds,
-            pressure=self._pressure,
         )
 
     def _find_refusal(self, handle):
@@ -181,6 +191,8 @@
             )
             if deaths >= MAXIMUM_DEATHS:
                 return "quarantined"
+        if not call.is_inner and not self.paces.get(call.route).has_room:
+            return "paced"
         return ""
 
     def _run(self, handle):
@@ -205,6 +217,7 @@
             done=lambda result: self._finish(handle, result),
         )
         self._running[call.request_id] = handle
+        self.paces.get(call.route).begin()
         self._pool.send(handle.exchange, needs_fresh=not call.is_safe)
 
     def _finish(self, handle, result):
@@ -223,7 +236,11 @@
     def _release(self, handle, *, is_good):
         if self._running.get(handle.call.request_id) is handle:
             del self._running[handle.call.request_id]
-        self.gate.release(now=time.monotonic(), job=handle.job, is_good=is_good)
+        now = time.monotonic()
+        self.gate.release(now=now, job=handle.job, is_good=is_good)
+        self.paces.get(handle.call.route).end(
+            now=now, is_bad=_judge_pace(now, handle, is_good), most=self.gate.limit
+        )
 
     def _admit_next(self):
         if not self.is_up:
@@ -362,6 +379,15 @@
     )
 
 
+def _judge_pace(now, handle, is_good):
+    """Return whether a run ended badly for want of capacity, ``None`` if unsure."""
+    job = handle.job
+    allowed = job.objective - job.offered_at
+    if handle.is_starved or now - job.admitted_at > allowed * pacing.LATE_SHARE:
+        return True
+    return False if is_good else None
+
+
 def _judge(result):
     """Return ``(outcome, arrived, reason)`` of a result of the backend server."""
     response = result.response
--- a/src/jackdawlanding/mesh/links.py
+++ b/src/jackdawlanding/mesh/links.py
@@ -29,7 +29,7 @@
 ORPHAN_SECONDS = 1.5
 FORGOTTEN_SECONDS = 600.0
 NOT_RECEIVED = "not-received"
-NO_LOAD = messages.Load(running=0, queued=0, limit=0, seconds=0.0, pressure=0.0)
+NO_LOAD = messages.Load(running=0, queued=0, limit=0, seconds=0.0)
 
 
 class Pending:
--- a/src/jackdawlanding/mesh/messages.py
+++ b/src/jackdawlanding/mesh/messages.py
@@ -43,14 +43,12 @@
 
 
 class Load(typing.NamedTuple):
-    """A host's load: requests that run and wait, their limit, seconds each
-    takes, and the share of late or refused work further down (0 to 1)."""
+    """A host's load: requests that run and wait, their limit, seconds each takes."""
 
     running: int
     queued: int
     limit: int
     seconds: float
-    pressure: float
 
 
 class Reply(typing.NamedTuple):
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -20,9 +20,7 @@
 
 
 def make_load(running, queued=0, seconds=0.1):
-    return messages.Load(
-        running=running, queued=queued, limit=4, seconds=seconds, pressure=0.0
-    )
+    return messages.Load(running=running, queued=queued, limit=4, seconds=seconds)
 
 
 class SelectorTest(unittest.TestCase):
@@ -69,6 +67,20 @@
         self.learn("i-2", 0.9)
         self.assertEqual(self.choose(), "i-3")
 
+    def choose_chained(self):
+        return self.one.choose(
+            now=1.0, backends=self.backends, kind="k", left=1.0, is_chained=True
+        ).instance
+
+    def test_a_chained_call_stays_near_while_it_need_not_wait(self):
+        self.learn("i-1", 0.03)
+        self.learn("i-2", 0.01)
+        self.assertEqual(self.choose_chained(), "i-1")
+
+    def test_a_chained_call_does_not_wait_where_others_are_faster(self):
+        self.one.record_end(now=1.0, instance="i-1", load=make_load(4, 1))
+        self.assertEqual(self.choose_chained(), "i-2")
+
     def test_a_queue_counts(self):
         self.one.record_end(now=1.0, instance="i-1", load=make_load(4, 20))
         self.assertEqual(self.choose(), "i-2")
