Conclude nothing from a host that the caller had not heard from

Cause: a link that was lost before the host's first word took the next process at that address for the same one, whose 'not received' then passed for proof that the call never ran. Ruled out: the host's own bookkeeping. Change: only a known incarnation's word counts. Tests for silent, reset and refused links.

--- a/src/jackdawlanding/mesh/links.py
+++ b/src/jackdawlanding/mesh/links.py
@@ -91,6 +91,11 @@
         """How many calls are under way."""
         return len(self._pending)
 
+    @property
+    def peer(self):
+        """The host's incarnation as it last said, or ``""``."""
+        return self._peer
+
     @property
     def is_reachable(self):
         """Whether a call may be sent now."""
@@ -216,14 +221,15 @@
         pending.respond(reply._replace(load=messages.Load(*reply.load)))
 
     def _note_welcome(self, message):
-        if self._peer and self._peer != message.incarnation:
+        is_same = self._peer == message.incarnation
+        self._peer = message.incarnation
+        if self._resuming and not is_same:
+            # Only the process that took the calls can tell what became of them.
             logger.info("links: %s has started anew.", self.address[0])
-            if self._resuming:
-                self._fail_all("restarted")
+            self._fail_all("restarted")
         elif self._resuming and self._pending:
             logger.info("links: %s answers again.", self.address[0])
             self._send(messages.Resume(numbers=list(self._pending)))
-        self._peer = message.incarnation
         self._resuming = False
         self._lost_at = None
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -4,6 +4,7 @@
 """
 
 import base64
+import contextlib
 import http.client
 import http.server
 import itertools
@@ -362,6 +363,9 @@
         self._pairs.clear()
 
     def stop(self):
+        # A thread that waits in accept() would keep a closed socket listening.
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         self.reset_all()
 
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,237 @@
+"""Links between daemons over connections that break or fall silent."""
+
+import time
+import unittest
+
+import meshes
+import standins
+
+from jackdawlanding.decisions import outcomes
+from jackdawlanding.mesh import links, loop as loops, messages, streams
+
+HOST = "127.0.0.1"
+
+
+class FakeHost:
+    """Takes calls and ends them when told to."""
+
+    def __init__(self):
+        self.calls = {}
+        self.cancelled = []
+        self.count = 0
+
+    def offer(self, call, respond):
+        self.count += 1
+        self.calls[call.number] = respond
+        return call.number
+
+    def cancel(self, handle):
+        self.cancelled.append(handle)
+
+    def finish(self, number, outcome=outcomes.Outcome.DONE):
+        reply = links.make_failure(number, "", outcome=outcome)
+        self.calls[number](reply._replace(status=200, body=b"x"))
+
+
+def make_call(number, *, is_safe=False):
+    return messages.Call(
+        number=number,
+        instance="i-1",
+        service="desk",
+        route="r",
+        method="GET",
+        target="/",
+        headers=[],
+        body=b"",
+        has_body=False,
+        left=5.0,
+        objective=1.0,
+        rank=0,
+        is_safe=is_safe,
+        is_inner=False,
+        caller="desk",
+        request_id=f"q{number}",
+        repeat=0.0,
+    )
+
+
+class LinkTest(unittest.TestCase):
+    """A caller and a host on one loop, with a proxy between them."""
+
+    def setUp(self):
+        self.loop = loops.Loop()
+        self.addCleanup(self.loop.close)
+        self.host = FakeHost()
+        self.start_host("host-1")
+        port = self.listener.port
+        self.proxy_port = meshes.find_port()
+        self.proxy = standins.Proxy(
+            host=HOST, port=self.proxy_port, target=(HOST, port)
+        )
+        self.addCleanup(self.proxy.stop)
+        hello = messages.Hello(host=HOST, incarnation="caller-1", failure_domain="a1")
+        self.pool = links.LinkPool(
+            loop=self.loop,
+            port=self.proxy_port,
+            hello=hello,
+            on_news=lambda link, message: None,
+        )
+        self.link = self.pool.get(HOST)
+        self.loop.call_every(0.05, self.pool.tick)
+        self.loop.call_every(0.05, lambda: self.server.sweep())
+        self.replies = {}
+
+    def start_host(self, incarnation, port=0):
+        self.server = links.LinkServer(
+            loop=self.loop,
+            incarnation=incarnation,
+            host=self.host,
+            on_news=lambda link, message: None,
+        )
+        self.listener = streams.Listener(
+            loop=self.loop, address=(HOST, port), accept=self.server.accept
+        )
+
+    def run_until(self, condition, seconds=4.0):
+        end = time.monotonic() + seconds
+        while not condition():
+            self.assertLess(time.monotonic(), end, "nothing came of it")
+            self.loop.call_later(0.01, lambda: None)
+            self.loop.turn()
+
+    def wait(self, seconds):
+        end = time.monotonic() + seconds
+        self.run_until(lambda: time.monotonic() > end)
+
+    def send(self, number, **fields):
+        call = make_call(number, **fields)
+        self.link.call(call, lambda reply: self.replies.setdefault(number, reply))
+
+    def wait_running(self, number):
+        self.run_until(lambda: number in self.host.calls and self.link.peer)
+
+    def test_replies_come_in_any_order(self):
+        for number in (1, 2, 3):
+            self.send(number)
+        self.wait_running(3)
+        for number in (3, 1, 2):
+            self.host.finish(number)
+        self.run_until(lambda: len(self.replies) == 3)
+        self.assertEqual(self.replies[2].status, 200)
+
+    def test_a_call_outlives_its_connection(self):
+        for fail in (self.proxy.reset_all, self.proxy.go_silent):
+            with self.subTest(fail=fail.__name__):
+                number = self.pool.make_number()
+                self.send(number)
+                self.wait_running(number)
+                fail()
+                self.host.finish(number)
+                self.run_until(lambda n=number: n in self.replies)
+                self.assertEqual(self.replies[number].outcome, outcomes.Outcome.DONE)
+        self.assertEqual(self.host.count, 2)
+
+    def test_a_call_that_was_swallowed_never_runs(self):
+        self.send(1)
+        self.wait_running(1)
+        self.proxy.go_silent()
+        self.send(2)
+        self.run_until(lambda: 2 in self.replies)
+        self.assertEqual(self.replies[2].outcome, outcomes.Outcome.NOT_RUN)
+        self.assertNotIn(2, self.host.calls)
+        self.host.finish(1)
+        self.run_until(lambda: 1 in self.replies)
+
+    def test_a_safe_call_that_is_not_known_may_have_run(self):
+        self.send(1, is_safe=True)
+        self.wait_running(1)
+        self.proxy.go_silent()
+        self.send(2, is_safe=True)
+        self.run_until(lambda: 2 in self.replies)
+        self.assertEqual(self.replies[2].outcome, outcomes.Outcome.UNKNOWN)
+
+    def test_a_host_that_started_anew_knows_nothing(self):
+        self.send(1)
+        self.wait_running(1)
+        port = self.listener.port
+        self.listener.close()
+        for link in list(self.server.links.values()):
+            link.stream.close()
+        self.start_host("host-2", port)
+        self.proxy.reset_all()
+        self.run_until(lambda: 1 in self.replies)
+        self.assertEqual(self.replies[1].outcome, outcomes.Outcome.UNKNOWN)
+
+    def test_a_link_lost_before_the_host_said_who_it_is(self):
+        take_welcome = self.link._note_welcome
+        self.link._note_welcome = lambda message: None
+        self.send(1)
+        self.wait(0.1)
+        self.assertIn(1, self.host.calls)
+        self.link._note_welcome = take_welcome
+        self.proxy.reset_all()
+        self.run_until(lambda: 1 in self.replies)
+        self.assertEqual(self.replies[1].outcome, outcomes.Outcome.UNKNOWN)
+
+    def test_a_host_that_cannot_be_reached_ran_nothing(self):
+        self.proxy.stop()
+        self.send(1)
+        self.run_until(lambda: 1 in self.replies)
+        self.assertEqual(self.replies[1].outcome, outcomes.Outcome.NOT_RUN)
+        self.assertFalse(self.link.is_reachable)
+
+    def test_a_process_that_is_gone_leaves_its_calls_unknown(self):
+        self.send(1)
+        self.wait_running(1)
+        self.proxy.stop()
+        self.run_until(lambda: 1 in self.replies)
+        self.assertEqual(self.replies[1].outcome, outcomes.Outcome.UNKNOWN)
+
+    def test_cancelling_reaches_the_host(self):
+        self.send(1)
+        self.wait_running(1)
+        self.assertFalse(self.link.cancel(1))
+        self.run_until(lambda: self.host.cancelled == [1])
+
+    def test_a_call_that_was_never_sent_certainly_never_runs(self):
+        self.send(1)
+        self.assertTrue(self.link.cancel(1))
+        self.wait(0.2)
+        self.assertEqual(self.host.calls, {})
+
+    def test_calls_of_a_caller_that_is_gone_are_dropped(self):
+        self.send(1)
+        self.wait_running(1)
+        self.proxy.stop()
+        self.run_until(lambda: self.host.cancelled == [1])
+
+    def test_dropped_calls_are_never_said_not_to_have_run(self):
+        self.send(1)
+        self.wait_running(1)
+        link = self.server.links["caller-1"]
+        self.server._drop_orphans(link)
+        reply = self.server._make_unknown("caller-1", 1)
+        self.assertEqual(reply.outcome, outcomes.Outcome.UNKNOWN)
+
+    def test_bytes_that_are_no_message_end_the_link(self):
+        sock = standins.socket.create_connection((HOST, self.listener.port))
+        sock.sendall(b"\xc1\xc1\xc1 nonsense")
+        sock.setblocking(False)
+        closed = []
+
+        def check():
+            try:
+                closed.append(sock.recv(10) == b"")
+            except BlockingIOError:
+                return False
+            except OSError:
+                closed.append(True)
+            return True
+
+        self.run_until(check)
+        self.assertTrue(closed[0])
+        sock.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
