--- a/deploy/jackdawd.py
+++ b/deploy/jackdawd.py
@@ -1,9 +1,10 @@
 """Starts a mesh daemon from a checkout, without installing the package."""
 
-import pathlib
+import os
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path.insert(0, os.path.join(ROOT, "src"))
 
 from jackdawlanding.mesh import app  # noqa: E402
 
--- a/src/jackdawlanding/decisions/rendezvous.py
+++ b/src/jackdawlanding/decisions/rendezvous.py
@@ -4,14 +4,18 @@
 rates", IEEE/ACM Transactions on Networking, 1998.
 """
 
-import hashlib
+# hashlib would load OpenSSL, 3.6 MB in each daemon.
+try:
+    from _blake2 import blake2b
+except ImportError:
+    from hashlib import blake2b
 
 DIGEST_BYTES = 16
 
 
 def digest(*parts):
     """Return a 16-byte digest of text parts; their borders count."""
-    state = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    state = blake2b(digest_size=DIGEST_BYTES)
     for part in parts:
         data = part.encode()
         state.update(len(data).to_bytes(4, "big"))
@@ -21,7 +25,7 @@
 
 def weigh(key, member):
     """Return the weight of ``member`` (text) for ``key`` (bytes)."""
-    state = hashlib.blake2b(member.encode(), digest_size=8, key=key[:64])
+    state = blake2b(member.encode(), digest_size=8, key=key[:64])
     return state.digest(), member
 
 
--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -4,7 +4,6 @@
 import logging
 import os
 import random
-import secrets
 import signal
 import socket
 import time
@@ -55,7 +54,7 @@
         self.loop = loops.Loop()
         self.log = records.Log()
         self.metrics = counters.Metrics()
-        self.incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.incarnation = os.urandom(INCARNATION_BYTES).hex()
         self._build()
         self._listen()
 
--- a/src/jackdawlanding/mesh/loop.py
+++ b/src/jackdawlanding/mesh/loop.py
@@ -13,6 +13,7 @@
 # Longest wait without a timer, so that a stop request is noticed.
 IDLE_WAIT_SECONDS = 1.0
 EVENTS_PER_TURN = 256
+READ_BYTES = 65536
 
 
 class Timer:
@@ -32,7 +33,7 @@
 class Loop:
     """Waits for sockets and timers and calls their handlers.
 
-    A handler has ``on_events(mask)``. An exception in a handler is logged and
+    A handler has ``on_events(mask)``. ``buffer`` is where streams read to. An exception in a handler is logged and
     reaches nobody else.
     """
 
@@ -43,6 +44,8 @@
         self._numbers = itertools.count()
         self._soon = []
         self._running = True
+        # Shared by all streams, which read one after the other.
+        self.buffer = bytearray(READ_BYTES)
         self.now = time.monotonic()
 
     def watch(self, descriptor, handler, mask=READ):
--- a/src/jackdawlanding/mesh/messages.py
+++ b/src/jackdawlanding/mesh/messages.py
@@ -5,6 +5,8 @@
 import msgpack
 
 MAXIMUM_BYTES = 96 << 20
+# Each of many links has a buffer of this size.
+BUFFER_BYTES = 4096
 
 
 class Hello(typing.NamedTuple):
@@ -174,7 +176,9 @@
     """Cuts a byte stream into messages."""
 
     def __init__(self):
-        self._unpacker = msgpack.Unpacker(max_buffer_size=MAXIMUM_BYTES)
+        self._unpacker = msgpack.Unpacker(
+            read_size=BUFFER_BYTES, max_buffer_size=MAXIMUM_BYTES
+        )
 
     def feed(self, data):
         """Return the whole messages that ``data`` completes.
--- a/src/jackdawlanding/mesh/streams.py
+++ b/src/jackdawlanding/mesh/streams.py
@@ -10,7 +10,6 @@
 
 logger = logging.getLogger("jackdaw.streams")
 
-READ_BYTES = 65536
 BACKLOG = 2048
 ACCEPTS_PER_TURN = 128
 # A peer that acknowledges nothing for so long is gone; a silent link looks so.
@@ -162,14 +161,14 @@
 
     def _read(self):
         try:
-            data = self.sock.recv(READ_BYTES)
+            count = self.sock.recv_into(self._loop.buffer)
         except BlockingIOError:
             return
         except OSError:
             self._lose(was_reset=True)
             return
-        if data:
-            self.on_data(data)
+        if count:
+            self.on_data(self._loop.buffer[:count])
         else:
             self._lose(was_reset=False)
 
