--- a/src/jackdawlanding/mesh/entry.py
+++ b/src/jackdawlanding/mesh/entry.py
@@ -439,7 +439,8 @@
         if route is not None and not exchange.is_inner:
             self._metrics.record_latency(route.rank, seconds)
         self._answered += 1
-        if reason == "answered" and self._answered % SAMPLE_EVERY:
+        is_good = reason == "answered" and response.status < 500
+        if is_good and self._answered % SAMPLE_EVERY:
             return
         self._log.note(
             "entry",
