Serve the backend server until callers have had time to notice a stop

Ruled out: the restart itself (0.5 s). Change: it hosts for 2.2 s more, then hands back what waits; calls of what still runs are served until the end.

--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -30,9 +30,10 @@
 
 INCARNATION_BYTES = 8
 RELOAD_CHECK_SECONDS = 1.0
-# After a stop request: how long new connections are still served, and the part
-# of the grace in which requests may end.
-ACCEPT_SECONDS = 2.5
+# After a stop request: how long all is served as before, until two questions for
+# readiness, a second apart, have been answered no; and the part of the grace in
+# which requests may end.
+ACCEPT_SECONDS = 2.2
 GRACE_SHARE = 0.93
 LEAVE_CHECK_SECONDS = 0.05
 LINK_TICK_SECONDS = 0.1
@@ -77,16 +78,17 @@
         self.log.note("daemon", "Stopped.", incarnation=self.incarnation)
 
     def leave(self):
-        """Take no new callers, finish what is under way, then stop."""
+        """Let callers go elsewhere, then take no calls, finish, and stop.
+
+        The backend server stays, and only this daemon leads to it: it is served
+        until callers have had time to notice.
+        """
         if self._left_at is not None:
             return
         self._left_at = time.monotonic()
         self.log.note("daemon", "Leaving.", in_flight=self.entry.in_flight)
         self.front.is_leaving = True
-        self.host.leave()
-        for link in list(self.server.links.values()):
-            link.send(messages.Leaving(host=self.settings.host))
-        self.loop.call_every(LEAVE_CHECK_SECONDS, self._check_left)
+        self.loop.call_later(ACCEPT_SECONDS, self._close_host)
 
     def reload(self):
         """Read the settings file again if it has changed."""
@@ -256,15 +258,23 @@
         self.links.tick()
         self.server.sweep()
 
+    def _close_host(self):
+        """Hand back what waits and tell the peers; what runs goes on."""
+        self.host.leave()
+        for link in list(self.server.links.values()):
+            link.send(messages.Leaving(host=self.settings.host))
+        self.loop.call_every(LEAVE_CHECK_SECONDS, self._check_left)
+
     def _check_left(self):
+        """Stop once nothing is under way, or the grace is nearly over.
+
+        Until then the backend server's own calls are served.
+        """
+        self.front.close_idle()
         seconds = time.monotonic() - self._left_at
-        if seconds > ACCEPT_SECONDS:
-            for door in self._doors:
-                door.close()
-            self.front.close_idle()
-            is_done = not (self.front.busy or self.host.in_flight)
-            if is_done or seconds > self.settings.grace * GRACE_SHARE:
-                self.loop.stop()
+        is_done = not (self.front.busy or self.host.in_flight)
+        if is_done or seconds > self.settings.grace * GRACE_SHARE:
+            self.loop.stop()
 
     def _watch_signals(self):
         """Wake the loop for signals, which are handled as its events."""
