--- a/src/jackdawlanding/cli/jackdaw.py
+++ b/src/jackdawlanding/cli/jackdaw.py
@@ -14,7 +14,8 @@
 import typer
 
 from jackdawlanding import exceptions
-from jackdawlanding.settings import addresses, bundles
+from jackdawlanding.mesh import traces
+from jackdawlanding.settings import addresses, bundles, mesh as mesh_settings
 
 application = typer.Typer(pretty_exceptions_enable=False, help=__doc__)
 
@@ -138,6 +139,44 @@
     _print(data, as_json, lines)
 
 
+@application.command()
+def trace(
+    request: typing.Annotated[str, typer.Argument(help="The request's id.")],
+    files: typing.Annotated[
+        list[typer.FileText] | None,
+        typer.Argument(help="Log files of daemons; standard input if none."),
+    ] = None,
+    around: typing.Annotated[
+        float,
+        typer.Option(
+            help="Also show changes of belief, so many seconds before.", min=0
+        ),
+    ] = 0.0,
+    as_json: Json = False,
+):
+    """Show one request's way across daemons, from their log lines."""
+    lines = [line for file in files or [sys.stdin] for line in file]
+    found = traces.find(lines, request, around=around)
+    if not found:
+        raise exceptions.NotFoundError(
+            name=request,
+            detail=f"{len(lines)} lines read",
+            remedy="give the logs of all daemons; answers that went well are sampled",
+        )
+    _print([one._asdict() for one in found], as_json, traces.format_lines(found))
+
+
+@application.command()
+def settings(
+    path: typing.Annotated[pathlib.Path, typer.Argument(help="A settings file.")],
+    as_json: Json = False,
+):
+    """Check a mesh daemon's settings file and show what it says."""
+    found = mesh_settings.load(path)
+    lines = [f"{key}: {value}" for key, value in found._asdict().items()]
+    _print(found._asdict(), as_json, lines)
+
+
 def _parse_headers(texts):
     headers = {}
     for text in texts:
--- a/src/jackdawlanding/decisions/directory.py
+++ b/src/jackdawlanding/decisions/directory.py
@@ -154,7 +154,9 @@
     def list_since(self, revision):
         """Return ``(instance, record)`` pairs newer than ``revision``."""
         return [
-            (name, one) for name, one in self._records.items() if one.revision > revision
+            (name, one)
+            for name, one in self._records.items()
+            if one.revision > revision
         ]
 
     def _index(self):
--- a/src/jackdawlanding/exceptions.py
+++ b/src/jackdawlanding/exceptions.py
@@ -63,6 +63,20 @@
         )
 
 
+class NotFoundError(JackdawError):
+    """Something that was asked for by name and isn't there."""
+
+    def __init__(self, *, name, detail, remedy):
+        super().__init__()
+        self.name = name
+        self.detail = detail
+        self.remedy = remedy
+
+    def format_message(self):
+        """Return the name, what was searched and the remedy."""
+        return f"{self.name!r} was not found ({self.detail}); {self.remedy}"
+
+
 class FaultsError(JackdawError):
     """Faults found in files, all at once."""
 
--- a/src/jackdawlanding/mesh/backends.py
+++ b/src/jackdawlanding/mesh/backends.py
@@ -183,7 +183,9 @@
     def sweep(self):
         """Close connections that have been idle for too long."""
         now = time.monotonic()
-        for one in [one for one in self._idle if now - one.idle_since > one.idle_seconds]:
+        for one in [
+            one for one in self._idle if now - one.idle_since > one.idle_seconds
+        ]:
             self.drop(one)
 
     def close(self):
--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -10,14 +10,13 @@
 SWEEP_SECONDS = 0.25
 # Requests that a caller may send ahead on one connection.
 MAXIMUM_AHEAD = 16
-HIGHEST_UNSENT_BYTES = 1 << 20
 
 
 class CallerConnection:
     """One caller's connection.
 
-    :param serve: called with a request, whether the caller is the own backend
-        server, and ``respond``; returns an object with ``cancel()`` or ``None``.
+    :param front: the :class:`Front` that it belongs to.
+    :param stream: its ``streams.Stream``.
     """
 
     def __init__(self, *, front, stream, host):
@@ -40,14 +39,16 @@
 
     def check(self, now):
         """Close if a request comes too slowly or nothing comes at all."""
-        limits = self._front.limits
         if self._is_busy or self._waiting:
             return
-        age = now - self.since
-        if self._reader.has_begun and age > limits.head_seconds + limits.idle_seconds:
+        limits, age = self._front.limits, now - self.since
+        if not self._reader.has_begun:
+            if age > limits.idle_seconds:
+                self.close()
+        elif age > (
+            limits.idle_seconds if self._reader.has_head else limits.head_seconds
+        ):
             self._refuse(http.RequestError(status=408, detail="it came too slowly"))
-        elif not self._reader.has_begun and age > limits.idle_seconds:
-            self.close()
 
     def close(self):
         """Close the connection and cancel what is under way."""
@@ -55,7 +56,7 @@
         self._note_closed(False)
 
     def _take(self, data):
-        if not self._reader.has_begun and not self._is_busy:
+        if not self._is_busy and (self._reader.has_head or not self._reader.has_begun):
             self.since = time.monotonic()
         try:
             self._reader.feed(data)
@@ -121,7 +122,8 @@
     """All callers' connections of one listener.
 
     :param loop: the event loop.
-    :param serve: see :class:`CallerConnection`.
+    :param serve: called with a request, the caller's host and ``respond``; returns
+        an object with ``cancel()`` or ``None``.
     :param find_limits: returns the ``routes.Limits`` in force.
     """
 
--- a/src/jackdawlanding/mesh/gossip.py
+++ b/src/jackdawlanding/mesh/gossip.py
@@ -83,7 +83,10 @@
         self.table = routes.RouteTable(configuration=held.publication)
         self.adopted_at = time.monotonic()
         self._log.note(
-            "config", "A configuration is in force.", version=held.version, source=source
+            "config",
+            "A configuration is in force.",
+            version=held.version,
+            source=source,
         )
         self._tell("configuration")
         return True
@@ -301,9 +304,7 @@
                 instance=name, revision=revision, backend=backend, source="peer"
             )
         if knowledge.directory.complete_at >= news.since:
-            knowledge.directory.confirm(
-                revision=news.revision, at=now - news.age
-            )
+            knowledge.directory.confirm(revision=news.revision, at=now - news.age)
         if knowledge.learn_suspects(news.suspects):
             self._note_change("suspects")
 
--- a/src/jackdawlanding/mesh/http.py
+++ b/src/jackdawlanding/mesh/http.py
@@ -72,12 +72,15 @@
 class RequestReader:
     """Cuts a byte stream into requests, within bounds.
 
+    ``has_begun`` and ``has_head`` tell how far the next request has come.
+
     :param limits: a ``routes.Limits``.
     """
 
     def __init__(self, *, limits):
         self.ready = []
         self.has_begun = False
+        self.has_head = False
         self._limits = limits
         self._parser = httptools.HttpRequestParser(self)
         self._reset()
@@ -101,23 +104,32 @@
             self.has_begun = False
 
     def on_message_begin(self):
+        """Note that a message begins; called by the parser."""
         self._in_message = True
 
     def on_url(self, url):
+        """Collect a part of the target; called by the parser."""
         self._grow_head(len(url))
         self._url += url
 
     def on_header(self, name, value):
+        """Collect a header; called by the parser."""
         self._grow_head(len(name) + len(value) + 4)
         self._headers.append((name, value))
 
+    def on_headers_complete(self):
+        """Note the end of the head; called by the parser."""
+        self.has_head = True
+
     def on_body(self, data):
+        """Collect a part of the body; called by the parser."""
         self._body_bytes += len(data)
         if self._body_bytes > self._limits.body_bytes:
             self._fail(413, f"the body is over {self._limits.body_bytes} bytes")
         self._chunks.append(data)
 
     def on_message_complete(self):
+        """Take a whole message; called by the parser."""
         keys = {name.lower() for name, _ in self._headers}
         request = Request(
             method=self._parser.get_method().decode("latin-1"),
@@ -139,6 +151,7 @@
         self._error = None
         self._in_message = False
         self.has_begun = False
+        self.has_head = False
 
     def _grow_head(self, size):
         self._head_bytes += size
@@ -176,17 +189,21 @@
             self._complete(keep_alive=False)
 
     def on_header(self, name, value):
+        """Collect a header; called by the parser."""
         self._headers.append((name, value))
         if name.lower() in (b"content-length", b"transfer-encoding"):
             self._is_framed = True
 
     def on_headers_complete(self):
+        """Note the end of the head; called by the parser."""
         self._has_head = self._parser.get_status_code() >= 200
 
     def on_body(self, data):
+        """Collect a part of the body; called by the parser."""
         self._chunks.append(data)
 
     def on_message_complete(self):
+        """Take a whole message; called by the parser."""
         if self._parser.get_status_code() < 200:
             self._reset()
             return
--- a/src/jackdawlanding/mesh/links.py
+++ b/src/jackdawlanding/mesh/links.py
@@ -457,10 +457,10 @@
 
     def _finish(self, key, served, reply):
         served.link.send(reply)
-        if served.is_safe or not reply.arrived:
-            if not served.link.stream.is_closed:
-                self._served.pop(key, None)
-                return
+        is_kept = reply.arrived and not served.is_safe
+        if not is_kept and not served.link.stream.is_closed:
+            self._served.pop(key, None)
+            return
         served.reply = reply
         served.handle = None
         served.ended_at = time.monotonic()
--- a/src/jackdawlanding/mesh/loop.py
+++ b/src/jackdawlanding/mesh/loop.py
@@ -33,8 +33,8 @@
 class Loop:
     """Waits for sockets and timers and calls their handlers.
 
-    A handler has ``on_events(mask)``. ``buffer`` is where streams read to. An exception in a handler is logged and
-    reaches nobody else.
+    A handler has ``on_events(mask)``. ``buffer`` is where streams read to. An
+    exception in a handler is logged and reaches nobody else.
     """
 
     def __init__(self):
--- a/src/jackdawlanding/platform/documents.py
+++ b/src/jackdawlanding/platform/documents.py
@@ -95,7 +95,9 @@
 def _take_route(found, entry):
     name, spec = entry["metadata"]["name"], entry["spec"]
     if spec["routeType"] not in _KINDS:
-        raise DocumentError(f"route {name!r} has the unknown kind {spec['routeType']!r}")
+        raise DocumentError(
+            f"route {name!r} has the unknown kind {spec['routeType']!r}"
+        )
     shares = spec.get("trafficSplit") or [{"service": spec["service"], "weight": 1}]
     found["routes"].append(
         routes.Route(
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -5,10 +5,9 @@
 import threading
 import time
 
-import standins
-
 from jackdawlanding.mesh import app
-from jackdawlanding.settings import addresses, mesh as settings_files
+from jackdawlanding.settings import mesh as settings_files
+from tests import standins
 
 REGIONS = {"a1": "a", "a2": "a", "b1": "b"}
 
@@ -60,7 +59,9 @@
         return self
 
     def call(self, target, **fields):
-        return standins.call_at(self.host, self.ports["outbound"], target=target, **fields)
+        return standins.call_at(
+            self.host, self.ports["outbound"], target=target, **fields
+        )
 
     def run_in_loop(self, action):
         """Run an action on the daemon's own thread and return its result."""
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -50,8 +50,10 @@
                 pass
 
         self._server = _Server(("127.0.0.1", 0), Handler)
-        self.address = "127.0.0.1:%d" % self._server.server_address[1]
-        threading.Thread(target=self._server.serve_forever, args=(0.01,), daemon=True).start()
+        self.address = f"127.0.0.1:{self._server.server_address[1]}"
+        threading.Thread(
+            target=self._server.serve_forever, args=(0.01,), daemon=True
+        ).start()
 
     def stop(self):
         self._server.shutdown()
@@ -118,7 +120,10 @@
                 if events or left <= 0:
                     break
                 self.changed.wait(left)
-            page = {"events": events if after >= self.first else [], "at": self.revision}
+            page = {
+                "events": events if after >= self.first else [],
+                "at": self.revision,
+            }
             is_gone = after < self.first
         _send(handler, 410 if is_gone else 200, json.dumps(page).encode())
 
@@ -167,7 +172,9 @@
 
         self._server = _Server((self.host, port), Handler)
         self.port = self._server.server_address[1]
-        threading.Thread(target=self._server.serve_forever, args=(0.01,), daemon=True).start()
+        threading.Thread(
+            target=self._server.serve_forever, args=(0.01,), daemon=True
+        ).start()
 
     def entry(self, *, host="127.0.0.1", zone="a1", state="ready", slots=None):
         return {
@@ -414,7 +421,15 @@
 
 
 def call_at(
-    address, port, *, target, method="GET", body=None, deadline=3000, number=None, extra=()
+    address,
+    port,
+    *,
+    target,
+    method="GET",
+    body=None,
+    deadline=3000,
+    number=None,
+    extra=(),
 ):
     """Send one request; its first path segment names the host.
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -6,7 +6,9 @@
 HOST = "10.0.0.1"
 
 
-def make_backend(instance="i-1", *, is_draining=False, host=HOST, service="desk", **more):
+def make_backend(
+    instance="i-1", *, is_draining=False, host=HOST, service="desk", **more
+):
     return directory.Backend(
         instance=instance,
         service=service,
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -4,9 +4,8 @@
 import json
 import unittest
 
-import standins
-
 from jackdawlanding.platform import calls, documents
+from tests import standins
 
 
 def encode(value):
@@ -52,9 +51,11 @@
             {"zone": None},
             {"warmupRemainingMs": "soon"},
         ):
-            with self.subTest(changes=changes):
-                with self.assertRaises(documents.DocumentError):
-                    documents.decode_backend("servers/i-7", make_entry(**changes))
+            with (
+                self.subTest(changes=changes),
+                self.assertRaises(documents.DocumentError),
+            ):
+                documents.decode_backend("servers/i-7", make_entry(**changes))
         for data in (b"", b"\xff\xfe", b"[]", b"7", b"null"):
             with self.assertRaises(documents.DocumentError):
                 documents.decode_backend("servers/i-7", data)
--- a/tests/test_fuzz_slots.py
+++ b/tests/test_fuzz_slots.py
@@ -52,7 +52,9 @@
     def release(self, data, seconds):
         self.now += seconds
         job = data.draw(strategies.sampled_from(self.running))
-        self.gate.release(now=self.now, job=job, is_good=data.draw(strategies.booleans()))
+        self.gate.release(
+            now=self.now, job=job, is_good=data.draw(strategies.booleans())
+        )
         self.running.remove(job)
         self.end(job)
         self.admit()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,9 +13,34 @@
     "wire": {"wire"},
     "daemon": {"daemon", "wire", "settings", "decisions"},
     "emulator": {"emulator", "settings"},
-    "cli": {"cli", "daemon", "settings", "exceptions"},
+    "platform": {"platform", "decisions"},
+    "mesh": {"mesh", "platform", "settings", "decisions"},
+    "cli": {"cli", "daemon", "mesh", "settings", "exceptions"},
 }
-OUTSIDE = {"socket", "select", "time", "pycurl", "httptools", "capnp"}
+OUTSIDE = {"socket", "select", "time", "pycurl", "httptools", "capnp", "msgpack"}
+# Names that only the adapter to the users' platform may know.
+PLATFORM_NAMES = (
+    "X-Request-Id",
+    "X-Deadline-Ms",
+    "X-Caller-Service",
+    "X-Expected-Instance",
+    "X-Server-Signature",
+    "X-Not-Executed",
+    "kv-watch",
+    "kv-range",
+    "kv-key",
+    "op/config",
+    "servers/",
+    "maxConcurrency",
+    "warmupRemainingMs",
+    "trafficSplit",
+    "targetLatencyMs",
+    "entryKind",
+    "routeType",
+    "jackdawlanding/readiness",
+    "appAddress",
+    "nodeName",
+)
 
 
 def list_imports(path):
@@ -38,6 +63,21 @@
                     if parts[0] == "jackdawlanding" and len(parts) > 1:
                         self.assertIn(parts[1], allowed, f"{path.name}: {name}")
 
+    def test_only_the_adapter_knows_the_platform_s_names(self):
+        for path in ROOT.rglob("*.py"):
+            if path.parent.name == "platform":
+                continue
+            text = path.read_text()
+            for name in PLATFORM_NAMES:
+                self.assertNotIn(name, text, path.name)
+
+    def test_the_adapter_stays_small(self):
+        lines = {
+            path: len(path.read_text().splitlines()) for path in ROOT.rglob("*.py")
+        }
+        own = sum(n for path, n in lines.items() if path.parent.name == "platform")
+        self.assertLess(own, sum(lines.values()) / 10)
+
     def test_decisions_have_no_sockets_and_no_clock(self):
         for path in (ROOT / "decisions").glob("*.py"):
             self.assertFalse(list_imports(path) & OUTSIDE, path.name)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -3,11 +3,9 @@
 import time
 import unittest
 
-import meshes
-import standins
-
 from jackdawlanding.decisions import outcomes
 from jackdawlanding.mesh import links, loop as loops, messages, streams
+from tests import meshes, standins
 
 HOST = "127.0.0.1"
 
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -4,8 +4,7 @@
 import time
 import unittest
 
-import meshes
-import standins
+from tests import meshes, standins
 
 
 class OneHostTest(unittest.TestCase):
@@ -128,13 +127,44 @@
             sock.close()
         self.assertEqual(len(self.upstream.seen), count)
 
+    def test_a_head_that_comes_too_slowly_is_given_up(self):
+        sock = standins.socket.create_connection(
+            (self.member.host, self.member.ports["outbound"]), timeout=3
+        )
+        sock.sendall(b"GET /look/1 HTTP/1.1\r\nHost: look")
+        self.assertIn(b" 408 ", sock.recv(200))
+        sock.close()
+
+    def test_a_body_may_take_longer_than_a_head(self):
+        sock = standins.socket.create_connection(
+            (self.member.host, self.member.ports["outbound"]), timeout=3
+        )
+        sock.sendall(
+            b"POST /pay/slow HTTP/1.1\r\nHost: pay.example\r\n"
+            b"X-Request-Id: slow\r\nContent-Length: 4\r\n\r\n"
+        )
+        for byte in (b"a", b"b", b"c", b"d"):
+            time.sleep(0.3)
+            sock.sendall(byte)
+        self.assertIn(b" 200 ", sock.recv(200))
+        sock.close()
+
+    def test_an_idle_connection_is_closed(self):
+        sock = standins.socket.create_connection(
+            (self.member.host, self.member.ports["outbound"]), timeout=4
+        )
+        self.assertEqual(sock.recv(10), b"")
+        sock.close()
+
     def test_chunked_bodies_and_requests_sent_ahead(self):
         sock = standins.socket.create_connection(
             (self.member.host, self.member.ports["outbound"]), timeout=3
         )
         head = "POST /pay/c HTTP/1.1\r\nHost: pay.example\r\nX-Request-Id: {}\r\n"
         chunked = "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
-        sock.sendall((head.format("c1") + chunked + head.format("c2") + chunked).encode())
+        sock.sendall(
+            (head.format("c1") + chunked + head.format("c2") + chunked).encode()
+        )
         data = b""
         while data.count(b"ran abc") < 2:
             data += sock.recv(1000)
@@ -156,7 +186,9 @@
 class SlotsTest(unittest.TestCase):
     def test_the_backend_server_never_gets_more_than_its_slots(self):
         routes = [standins.make_route("look", service="desk")]
-        with meshes.Mesh(services=[("desk", "a1"), ("desk", "a2")], routes=routes) as one:
+        with meshes.Mesh(
+            services=[("desk", "a1"), ("desk", "a2")], routes=routes
+        ) as one:
             for member in one.members:
                 member.upstream.seconds = 0.05
             results = []
@@ -229,7 +261,7 @@
                 ),
                 seconds=2.5,
             )
-            for number in range(10):
+            for _ in range(10):
                 self.assertEqual(desk.call("/pay/1", method="POST")[0], 200)
             self.assertEqual(near.upstream.runs, [])
 
@@ -337,12 +369,15 @@
             for member in mesh.members[1:]:
                 member.upstream.ways["/pay/die"] = "crash"
             for number in range(3):
-                desk.call("/pay/die", method="POST", body=b"same", number=f"die{number}")
+                desk.call(
+                    "/pay/die", method="POST", body=b"same", number=f"die{number}"
+                )
             # Told to all before the backend servers come back: one that does so
             # before its crash was noticed has not crashed for its daemon.
             meshes.wait_until(
-                lambda: {one.daemon.knowledge.count_deaths() for one in mesh.members}
-                == {3}
+                lambda: (
+                    {one.daemon.knowledge.count_deaths() for one in mesh.members} == {3}
+                )
             )
             for member in mesh.members[1:]:
                 member.upstream.start_again()
