--- a/src/jackdawlanding/decisions/directory.py
+++ b/src/jackdawlanding/decisions/directory.py
@@ -53,8 +53,9 @@
         self.complete_at = 0
         self.confirmed_at = float("-inf")
         self._records = {}
+        # Made from the records when asked for after a change.
+        self._newest = None
         self._by_service = {}
-        self._newest = {}
         self._lapsed = {}
         self._away_until = float("-inf")
 
@@ -86,10 +87,12 @@
 
     def list_service(self, service):
         """Return the backends of a service, those that drain included."""
+        self._index()
         return self._by_service.get(service, ())
 
     def find_at(self, host, port):
         """Return the newest backend at an address, or ``None``."""
+        self._index()
         record = self._newest.get((host, port))
         return record.backend if record else None
 
@@ -114,7 +117,7 @@
         before = known.backend if known else None
         if before == backend:
             return False
-        self._index()
+        self._newest = None
         return _forget_warmth(before) != _forget_warmth(backend)
 
     def list_missing(self, *, known_names, revision):
@@ -164,6 +167,8 @@
 
         An address is used again while the entry of its former user lingers.
         """
+        if self._newest is not None:
+            return
         self._newest = {}
         for record in self._records.values():
             if record.backend:
--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -171,7 +171,7 @@
             log=self.log,
             generator=random.Random(),
         )
-        self.knowledge.subscribe(self._note_change)
+        self.knowledge.subscribe(self.loop.coalesce(self.host.apply_backend))
 
     def _listen(self):
         settings = self.settings
@@ -250,10 +250,6 @@
         elif not self.gossip.handle(link, message):
             logger.warning("links: a message of no use: %s.", type(message).__name__)
 
-    def _note_change(self, what):
-        if what == "directory":
-            self.host.apply_backend()
-
     def _tick(self):
         self.links.tick()
         self.server.sweep()
--- a/src/jackdawlanding/mesh/entry.py
+++ b/src/jackdawlanding/mesh/entry.py
@@ -164,7 +164,7 @@
         self._budgets = {}
         self._answered = 0
         self.in_flight = 0
-        knowledge.subscribe(self._note_change)
+        knowledge.subscribe(loop.coalesce(self._forget_gone))
 
     def serve(self, request, respond):
         """Answer a request; return its :class:`Exchange`."""
@@ -484,9 +484,8 @@
             )
         return budget
 
-    def _note_change(self, what):
-        if what == "directory":
-            self._selector.keep(self._knowledge.directory.list_instances())
+    def _forget_gone(self):
+        self._selector.keep(self._knowledge.directory.list_instances())
 
 
 _LOST_REASONS = frozenset(
--- a/src/jackdawlanding/mesh/loop.py
+++ b/src/jackdawlanding/mesh/loop.py
@@ -71,6 +71,24 @@
         """Call ``callback()`` in the next turn."""
         self._soon.append(callback)
 
+    def coalesce(self, callback):
+        """Return a function that calls ``callback()`` once in the next turn.
+
+        However often it is called before that; its arguments are dropped.
+        """
+        due = []
+
+        def run():
+            due.clear()
+            callback()
+
+        def request(*_):
+            if not due:
+                due.append(True)
+                self.call_soon(run)
+
+        return request
+
     def call_every(self, seconds, callback):
         """Call ``callback()`` again and again, ``seconds`` apart."""
 
--- a/src/jackdawlanding/mesh/storereader.py
+++ b/src/jackdawlanding/mesh/storereader.py
@@ -47,14 +47,13 @@
 
     def start(self):
         """Begin to read."""
-        self._knowledge.subscribe(self._note_change)
+        self._knowledge.subscribe(self._loop.coalesce(self._find_position))
         self._loop.call_every(CHECK_SECONDS, self._check)
         self._loop.call_later(random.uniform(0, CHECK_SECONDS), self._check)
 
-    def _note_change(self, what):
-        if what == "directory":
-            hosts = self._knowledge.directory.list_hosts()
-            self._position = readers.find_position(host=self._own_host, hosts=hosts)
+    def _find_position(self):
+        hosts = self._knowledge.directory.list_hosts()
+        self._position = readers.find_position(host=self._own_host, hosts=hosts)
 
     def _check(self):
         now = time.monotonic()
