--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -391,6 +391,20 @@
             runs = [r for one in mesh.members for r in one.upstream.runs]
             self.assertEqual(sum(r.startswith("die") for r in runs), 3)
 
+    def test_a_stop_request_takes_nothing_away_at_once(self):
+        with self.make() as mesh:
+            desk, near, region, far = mesh.members
+            near.run_in_loop(near.daemon.leave)
+            status, _, _ = standins.call_at(
+                near.host, near.ports["ready"], target="/jackdawlanding/readiness"
+            )
+            self.assertEqual(status, 503)
+            self.assertEqual(desk.call("/pay/1", method="POST", number="in")[0], 200)
+            self.assertIn("in", near.upstream.runs)
+            time.sleep(2.5)
+            self.assertEqual(desk.call("/pay/1", method="POST", number="out")[0], 200)
+            self.assertNotIn("out", near.upstream.runs)
+
     def test_a_planned_stop_cuts_nothing(self):
         with self.make() as mesh:
             desk, near, region, far = mesh.members
