Let a daemon save the repeats that a window allows, by its own traffic

Ruled out: the number of attempts. Change: what may be saved is a share of the ratio over the window's first tries.

--- a/src/jackdawlanding/mesh/entry.py
+++ b/src/jackdawlanding/mesh/entry.py
@@ -7,7 +7,7 @@
 import logging
 import time
 
-from jackdawlanding.decisions import allowance, outcomes, selection, splits
+from jackdawlanding.decisions import budgets, outcomes, selection, splits
 from jackdawlanding.mesh import http, messages
 from jackdawlanding.platform import headers
 
@@ -17,11 +17,6 @@
 MAXIMUM_OFFERS = 5
 # Of the time to the objective; a refusal that comes later is worth less.
 OFFER_SHARE = 0.125
-# Of the allowed ratio of repeats: clocks and windows differ between daemons.
-BUDGET_SHARE = 0.8
-# All daemons together may save up about the slack that the platform allows.
-BUDGET_CEILING = 2.0
-BUDGET_START = 1.0
 # What is known is too old to tell a caller that a route does not exist.
 STALE_SECONDS = 3.0
 UNREADY_RETRY_SECONDS = 0.5
@@ -159,7 +154,7 @@
             regions=settings.failure_domains,
             generator=generator,
         )
-        self._worth = allowance.RepeatWorth(generator=generator)
+        self._worth = budgets.RepeatWorth(generator=generator)
         self._splitter = splits.Splitter(generator=generator)
         self._budgets = {}
         self._answered = 0
@@ -178,7 +173,7 @@
         left = exchange.deadline - exchange.started
         exchange.timer = self._loop.call_later(left, lambda: self._expire(exchange))
         budget = self._get_budget(exchange.service)
-        budget.record_first_try()
+        budget.record_first_try(now=exchange.started)
         if exchange.parent is not None:
             # The calls of a run that is itself a repeat are repeats too.
             exchange.repeat = exchange.parent.call.repeat
@@ -477,10 +472,8 @@
     def _get_budget(self, service):
         budget = self._budgets.get(service)
         if budget is None:
-            budget = self._budgets[service] = allowance.RetryBudget(
-                ratio=self._settings.retry_ratio * BUDGET_SHARE,
-                ceiling=BUDGET_CEILING,
-                initial=BUDGET_START,
+            budget = self._budgets[service] = budgets.WindowBudget(
+                ratio=self._settings.retry_ratio, window=self._settings.retry_window
             )
         return budget
 
--- a/src/jackdawlanding/settings/mesh.py
+++ b/src/jackdawlanding/settings/mesh.py
@@ -30,10 +30,14 @@
     store_address: addresses.Address
     grace: float
     retry_ratio: float
+    retry_window: float
 
 
 # The field of MeshSettings and its scale, for keys that carry a unit.
-_UNITS = {"grace_seconds": ("grace", 1.0)}
+_UNITS = {
+    "grace_seconds": ("grace", 1.0),
+    "retry_window_seconds": ("retry_window", 1.0),
+}
 
 
 def load(path):
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -50,6 +50,7 @@
             "store_address": self.store.address,
             "grace_seconds": 4,
             "retry_ratio": 0.2,
+            "retry_window_seconds": 10,
         }
         self.daemon = app.MeshDaemon(settings=settings_files.make(document))
         self._thread = threading.Thread(
--- a/tests/test_mesh_settings.py
+++ b/tests/test_mesh_settings.py
@@ -21,6 +21,7 @@
     "store_address": "10.0.9.9:85",
     "grace_seconds": 6,
     "retry_ratio": 0.2,
+    "retry_window_seconds": 10,
 }
 
 
