Tell what was removed only from where the own history begins

Removals were also held after gaps of 1.5 s, which a stopped reader makes. Ruled out: the trees, which reached all others. Change: history_from bounds what a difference may be taken from, else all is sent; what is held is not vouched for; an outage is 3 s. Suspects are compared by checksum, since equal counts hide different ones.

--- a/src/jackdawlanding/decisions/directory.py
+++ b/src/jackdawlanding/decisions/directory.py
@@ -11,8 +11,9 @@
 # An entry that lapsed while the store was away is back this long after its
 # return, or its backend server is gone.
 LAPSE_SECONDS = 1.8
-# When nobody has reached the store for so long, it was away.
-OUTAGE_SECONDS = 1.5
+# When nobody has reached the store for so long, it was away: entries lapse after
+# three heartbeats of silence, and other readers take over sooner than this.
+OUTAGE_SECONDS = 3.0
 
 
 class Backend(typing.NamedTuple):
@@ -46,11 +47,13 @@
     """Backend servers by instance, merged by revision.
 
     ``complete_at`` is the store's revision up to which nothing is missing;
-    ``confirmed_at`` is when, on the local clock, the store vouched for it.
+    ``confirmed_at`` is when, on the local clock, the store vouched for it. What
+    was removed before ``history_from`` may be unknown here.
     """
 
     def __init__(self):
         self.complete_at = 0
+        self.history_from = 0
         self.confirmed_at = float("-inf")
         self._records = {}
         # Made from the records when asked for after a change.
@@ -68,6 +71,13 @@
         held = self._lapsed.values()
         return min(self.complete_at, min(held) - 1) if held else self.complete_at
 
+    @property
+    def shared_confirmed_at(self):
+        """When the store vouched for ``shared_at``."""
+        if not self._lapsed:
+            return self.confirmed_at
+        return min(self.confirmed_at, self._away_until - LAPSE_SECONDS)
+
     def __len__(self):
         return sum(1 for one in self._records.values() if one.backend)
 
@@ -120,12 +130,21 @@
         self._newest = None
         return _forget_warmth(before) != _forget_warmth(backend)
 
-    def list_missing(self, *, known_names, revision):
-        """Return instances that a whole listing at ``revision`` does not name."""
-        return [
+    def finish_listing(self, *, now, names, revision):
+        """Remove what a whole listing at ``revision`` does not name.
+
+        Return the instances that are gone.
+        """
+        missing = [
             name
             for name, one in self._records.items()
-            if one.backend and name not in known_names and one.revision <= revision
+            if one.backend and name not in names and one.revision <= revision
+        ]
+        self.history_from = max(self.history_from, revision)
+        return [
+            name
+            for name in missing
+            if self.put(now=now, instance=name, revision=revision, backend=None)
         ]
 
     def note_contact(self, *, now):
@@ -155,7 +174,10 @@
         self.confirmed_at = max(self.confirmed_at, at)
 
     def list_since(self, revision):
-        """Return ``(instance, record)`` pairs newer than ``revision``."""
+        """Return ``(instance, record)`` pairs newer than ``revision``.
+
+        Nothing is missing only from ``history_from`` on.
+        """
         return [
             (name, one)
             for name, one in self._records.items()
--- a/src/jackdawlanding/mesh/gossip.py
+++ b/src/jackdawlanding/mesh/gossip.py
@@ -8,6 +8,7 @@
 import logging
 import random
 import time
+import zlib
 
 from jackdawlanding.decisions import (
     directory,
@@ -23,6 +24,7 @@
 DIGEST_SECONDS = 1.0
 FANOUT = 3
 NO_TREE = -1
+LONGEST_AGE_SECONDS = 1e6
 SUSPECT_SECONDS = 120.0
 MAXIMUM_SUSPECTS = 64
 CONFIGURATION = "configuration"
@@ -68,6 +70,10 @@
         """Return the seconds since the store vouched for what is known."""
         return now - self.directory.confirmed_at
 
+    def get_shared_age(self, now):
+        """Return the seconds since the store vouched for what may be told."""
+        return min(LONGEST_AGE_SECONDS, now - self.directory.shared_confirmed_at)
+
     def subscribe(self, listener):
         """Call ``listener(what)`` on each change, with the name of what changed."""
         self._listeners.append(listener)
@@ -108,6 +114,17 @@
             self._tell("directory")
         return changed
 
+    def finish_listing(self, *, names, revision, source):
+        """Remove what a whole listing does not name."""
+        gone = self.directory.finish_listing(
+            now=time.monotonic(), names=names, revision=revision
+        )
+        for instance in gone:
+            self._log.note(
+                "directory", "Not listed any more.", instance=instance, source=source
+            )
+            self._tell("directory")
+
     def settle(self):
         """Apply removals that were held back while the store was away."""
         for instance in self.directory.settle(now=time.monotonic()):
@@ -127,6 +144,15 @@
         held = self.quarantine.export(now=time.monotonic())
         return sum(deaths for _, deaths, _ in held)
 
+    def sum_suspects(self):
+        """Return a number that differs where the suspects do, 0 without any."""
+        total = 0
+        for fingerprint, origin, deaths, _ in self.quarantine.export_seen(
+            now=time.monotonic()
+        ):
+            total ^= zlib.crc32(fingerprint + f"{origin} {deaths}".encode())
+        return total
+
     def learn_suspects(self, suspects):
         """Take in what a peer tells; return whether anything was new."""
         now = time.monotonic()
@@ -236,33 +262,40 @@
         knowledge = self._knowledge
         return messages.Digest(
             revision=knowledge.directory.shared_at,
-            age=min(knowledge.get_age(time.monotonic()), 1e6),
+            age=knowledge.get_shared_age(time.monotonic()),
             version=knowledge.version,
-            suspects=knowledge.count_deaths(),
+            suspects=knowledge.sum_suspects(),
         )
 
     def _make_increment(self, *, tree):
         """Return what is new since this daemon last sent news."""
         knowledge = self._knowledge
-        is_new = knowledge.version > self._told_version
+        since = max(self._told_revision, knowledge.directory.history_from)
         news = self._make_news(
-            self._told_revision, with_configuration=is_new, tree=tree
+            since, with_configuration=knowledge.version > self._told_version, tree=tree
         )
         self._told_revision = knowledge.directory.shared_at
         self._told_version = knowledge.version
         return news
 
     def _make_news(self, since, *, with_configuration, tree=NO_TREE):
+        """Return what is newer than ``since``, or all where that isn't known."""
         knowledge = self._knowledge
+        directory_ = knowledge.directory
         now = time.monotonic()
+        is_whole = since < directory_.history_from
+        if is_whole:
+            since = 0
         return messages.News(
             tree=tree,
+            is_whole=is_whole,
             since=since,
-            revision=knowledge.directory.shared_at,
-            age=min(knowledge.get_age(now), 1e6),
+            revision=directory_.shared_at,
+            age=knowledge.get_shared_age(now),
             records=[
                 (name, record.revision, record.backend)
-                for name, record in knowledge.directory.list_since(since)
+                for name, record in directory_.list_since(since)
+                if record.backend or not is_whole
             ],
             configuration=knowledge.document if with_configuration else b"",
             suspects=knowledge.quarantine.export_seen(now=now)[-MAXIMUM_SUSPECTS:],
@@ -272,8 +305,8 @@
         knowledge = self._knowledge
         is_newer = knowledge.directory.shared_at > digest.revision
         has_configuration = knowledge.version > digest.version
-        is_fresher = knowledge.get_age(time.monotonic()) + 0.5 < digest.age
-        has_suspects = knowledge.count_deaths() > digest.suspects
+        is_fresher = knowledge.get_shared_age(time.monotonic()) + 0.5 < digest.age
+        has_suspects = knowledge.sum_suspects() not in (0, digest.suspects)
         if is_newer or has_configuration or is_fresher or has_suspects:
             link.send(
                 self._make_news(digest.revision, with_configuration=has_configuration)
@@ -303,6 +336,9 @@
             knowledge.put(
                 instance=name, revision=revision, backend=backend, source="peer"
             )
+        if news.is_whole:
+            names = {name for name, _, _ in news.records}
+            knowledge.finish_listing(names=names, revision=news.revision, source="peer")
         if knowledge.directory.complete_at >= news.since:
             knowledge.directory.confirm(revision=news.revision, at=now - news.age)
         if knowledge.learn_suspects(news.suspects):
--- a/src/jackdawlanding/mesh/messages.py
+++ b/src/jackdawlanding/mesh/messages.py
@@ -111,8 +111,8 @@
     """What the sender knows; the receiver answers with news, if it has any.
 
     ``revision`` is the store's revision that the sender is complete up to and
-    ``age`` how many seconds ago the store vouched for it. ``suspects`` counts the
-    deaths that it knows of.
+    ``age`` how many seconds ago the store vouched for it. ``suspects`` is a
+    checksum of those that it knows of, 0 without any.
     """
 
     revision: int
@@ -124,13 +124,15 @@
 class News(typing.NamedTuple):
     """Records after ``since`` up to ``revision``, and what else is newer.
 
-    ``tree`` numbers the tree that the news goes down, -1 for none.
+    ``tree`` numbers the tree that the news goes down, -1 for none. With
+    ``is_whole`` the records are all that there are.
     ``records`` holds ``(instance, revision, backend)``, ``configuration`` the
     operator's document or ``b""``, ``suspects``
     ``(fingerprint, origin, deaths, left)``.
     """
 
     tree: int
+    is_whole: bool
     since: int
     revision: int
     age: float
--- a/src/jackdawlanding/mesh/storereader.py
+++ b/src/jackdawlanding/mesh/storereader.py
@@ -139,11 +139,7 @@
             for name in names
             if name.startswith(documents.BACKEND_PREFIX)
         }
-        directory = self._knowledge.directory
-        for name in directory.list_missing(known_names=known, revision=revision):
-            self._knowledge.put(
-                instance=name, revision=revision, backend=None, source="store"
-            )
+        self._knowledge.finish_listing(names=known, revision=revision, source="store")
         self._confirm(revision)
 
     def _take_events(self, page):
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -106,11 +106,21 @@
         self.assertEqual(self.one.list_service("desk"), ())
         self.assertEqual(len(self.one.list_service("bank")), 1)
 
-    def test_a_listing_names_what_is_missing(self):
+    def test_a_listing_removes_what_it_does_not_name(self):
         put(self.one, 5, make_backend())
         put(self.one, 9, make_backend("i-2"), instance="i-2")
-        missing = self.one.list_missing(known_names=set(), revision=7)
-        self.assertEqual(missing, ["i-1"])
+        gone = self.one.finish_listing(now=0.0, names=set(), revision=7)
+        self.assertEqual(gone, ["i-1"])
+        self.assertEqual(self.one.history_from, 7)
+        self.assertEqual(self.one.list_instances(), ["i-2"])
+
+    def test_what_is_held_is_not_vouched_for(self):
+        put(self.one, 1, make_backend())
+        self.one.confirm(revision=1, at=5.0)
+        self.one.note_contact(now=10.0)
+        put(self.one, 2, None, now=10.5)
+        self.one.confirm(revision=2, at=11.0)
+        self.assertEqual(self.one.shared_confirmed_at, 10.0)
 
     def test_news_since_a_revision(self):
         put(self.one, 5, make_backend())
