--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -20,6 +20,7 @@
     messages,
     metrics as counters,
     records,
+    serving,
     storereader,
     streams,
 )
@@ -140,7 +141,7 @@
             ),
             on_news=self._take_news,
         )
-        self.server = links.LinkServer(
+        self.server = serving.LinkServer(
             loop=self.loop,
             incarnation=self.incarnation,
             host=self.host,
--- a/src/jackdawlanding/mesh/entry.py
+++ b/src/jackdawlanding/mesh/entry.py
@@ -8,7 +8,7 @@
 import time
 
 from jackdawlanding.decisions import budgets, outcomes, selection, splits
-from jackdawlanding.mesh import http, messages
+from jackdawlanding.mesh import exchanges, http, messages
 from jackdawlanding.platform import headers
 
 logger = logging.getLogger("jackdaw.entry")
@@ -34,99 +34,6 @@
 )
 
 
-class Exchange:
-    """One request from its arrival to its answer."""
-
-    __slots__ = (
-        "arrivals",
-        "backend",
-        "deadline",
-        "fallback",
-        "link",
-        "may_have_run",
-        "number",
-        "objective",
-        "offers",
-        "offered_at",
-        "parent",
-        "request",
-        "request_id",
-        "repeat",
-        "respond",
-        "retry_after",
-        "route",
-        "service",
-        "started",
-        "timer",
-        "tried",
-        "_entry",
-    )
-
-    def __init__(self, *, entry, request, respond):
-        self._entry = entry
-        self.request = request
-        self.respond = respond
-        self.started = time.monotonic()
-        self.request_id = request.find(headers.REQUEST_ID.lower()).decode("latin-1")
-        # The call that the own backend server runs and that made this request.
-        self.parent = None
-        self.route = None
-        self.service = ""
-        self.deadline = 0.0
-        self.objective = 0.0
-        self.arrivals = 0
-        self.offers = 0
-        self.offered_at = 0.0
-        self.tried = set()
-        self.backend = None
-        self.link = None
-        self.number = 0
-        self.retry_after = 0.0
-        self.timer = None
-        # Whether an attempt may have run, and an answer that is better than none.
-        self.may_have_run = False
-        self.fallback = None
-        self.repeat = 0.0
-
-    @property
-    def is_inner(self):
-        """Whether the own backend server made the request."""
-        return self.parent is not None
-
-    @property
-    def rank(self):
-        """The rank of the request that all this is done for."""
-        return self.parent.call.rank if self.parent else self.route.rank
-
-    def cancel(self):
-        """The caller has gone: stop the work."""
-        self._entry.abandon(self, "caller-gone")
-
-
-class LocalLink:
-    """Calls to the host in this process, in the shape of a link."""
-
-    def __init__(self, *, host):
-        self._host = host
-        self._handles = {}
-
-    def call(self, call, respond):
-        """Offer a call to the own host."""
-
-        def finish(reply):
-            self._handles.pop(call.number, None)
-            respond(reply)
-
-        handle = self._host.offer(call, finish)
-        if not handle.is_ended:
-            self._handles[call.number] = handle
-
-    def cancel(self, number):
-        """Give up a call; return whether it certainly never runs."""
-        handle = self._handles.pop(number, None)
-        return handle is not None and self._host.cancel(handle)
-
-
 class Entry:
     """Serves the requests of the callers on this instance.
 
@@ -145,7 +52,7 @@
         self._knowledge = knowledge
         self._links = links
         self._host = host
-        self._local = LocalLink(host=host)
+        self._local = exchanges.LocalLink(host=host)
         self._metrics = metrics
         self._log = log
         self._selector = selection.Selector(
@@ -162,8 +69,8 @@
         knowledge.subscribe(loop.coalesce(self._forget_gone))
 
     def serve(self, request, respond):
-        """Answer a request; return its :class:`Exchange`."""
-        exchange = Exchange(entry=self, request=request, respond=respond)
+        """Answer a request; return its :class:`exchanges.Exchange`."""
+        exchange = exchanges.Exchange(entry=self, request=request, respond=respond)
         exchange.parent = self._host.find_parent(exchange.request_id)
         self.in_flight += 1
         refusal = self._find_route(exchange)
--- a/src/jackdawlanding/mesh/hosts.py
+++ b/src/jackdawlanding/mesh/hosts.py
@@ -7,20 +7,12 @@
 import logging
 import time
 
-from jackdawlanding.decisions import (
-    outcomes,
-    pacing,
-    quarantine as quarantines,
-    slots,
-)
-from jackdawlanding.mesh import backends, http, messages, streams
+from jackdawlanding.decisions import pacing, slots
+from jackdawlanding.mesh import backends, http, messages, streams, verdicts
 from jackdawlanding.platform import headers
 
 logger = logging.getLogger("jackdaw.host")
 
-NOT_RUN = outcomes.Outcome.NOT_RUN
-UNKNOWN = outcomes.Outcome.UNKNOWN
-DONE = outcomes.Outcome.DONE
 # A request that was in flight at so many crashes runs no more (the platform's
 # rule on requests that crash what runs them).
 MAXIMUM_DEATHS = 3
@@ -185,7 +177,7 @@
             return "draining"
         quarantine = self._knowledge.quarantine
         if len(quarantine):
-            handle.fingerprint = make_fingerprint(call)
+            handle.fingerprint = verdicts.make_fingerprint(call)
             deaths = quarantine.count_deaths(
                 now=time.monotonic(), fingerprint=handle.fingerprint
             )
@@ -222,13 +214,13 @@
 
     def _finish(self, handle, result):
         now = time.monotonic()
-        outcome, arrived, reason = _judge(result)
-        self._release(handle, is_good=outcome is DONE)
+        outcome, arrived, reason = verdicts.judge(result)
+        self._release(handle, is_good=outcome is verdicts.DONE)
         if reason == "unreachable":
             self._note_down()
         elif reason == "died":
             self._note_death(now, handle)
-        elif outcome is DONE and handle.fingerprint:
+        elif outcome is verdicts.DONE and handle.fingerprint:
             self._knowledge.quarantine.clear(fingerprint=handle.fingerprint)
         self._end(handle, outcome, arrived, reason, result.response)
         self._admit_next()
@@ -239,7 +231,9 @@
         now = time.monotonic()
         self.gate.release(now=now, job=handle.job, is_good=is_good)
         self.paces.get(handle.call.route).end(
-            now=now, is_bad=_judge_pace(now, handle, is_good), most=self.gate.limit
+            now=now,
+            is_bad=verdicts.judge_pace(now, handle, is_good),
+            most=self.gate.limit,
         )
 
     def _admit_next(self):
@@ -252,7 +246,9 @@
             self._run(job.token)
 
     def _refuse(self, handle, reason, *, retry_after=0.0):
-        self._end(handle, NOT_RUN, False, reason, None, retry_after=retry_after)
+        self._end(
+            handle, verdicts.NOT_RUN, False, reason, None, retry_after=retry_after
+        )
 
     def _end(self, handle, outcome, arrived, reason, response, *, retry_after=0.0):
         if handle.is_ended:
@@ -321,7 +317,7 @@
         for at, call in died:
             if now - at > CRASH_SECONDS + CRASH_CHECK_SECONDS:
                 continue
-            deaths = self._knowledge.record_death(make_fingerprint(call))
+            deaths = self._knowledge.record_death(verdicts.make_fingerprint(call))
             self._log.note(
                 "host",
                 "A request was in flight at a crash.",
@@ -366,39 +362,3 @@
 
         stream.on_open = note_open
         stream.on_closed = note_closed
-
-
-def make_fingerprint(call):
-    """Return the digest by which a repeated request is known."""
-    return quarantines.fingerprint(
-        service=call.service,
-        method=call.method,
-        target=call.target,
-        key=call.caller,
-        body=call.body,
-    )
-
-
-def _judge_pace(now, handle, is_good):
-    """Return whether a run ended badly for want of capacity, ``None`` if unsure."""
-    job = handle.job
-    allowed = job.objective - job.offered_at
-    if handle.is_starved or now - job.admitted_at > allowed * pacing.LATE_SHARE:
-        return True
-    return False if is_good else None
-
-
-def _judge(result):
-    """Return ``(outcome, arrived, reason)`` of a result of the backend server."""
-    response = result.response
-    if response is None:
-        if not result.sent:
-            return NOT_RUN, False, result.reason
-        return UNKNOWN, True, result.reason
-    if response.status == 421 or response.find(headers.NOT_EXECUTED.lower()):
-        return NOT_RUN, True, "not-executed"
-    if response.find(b"content-encoding"):
-        return UNKNOWN, True, "encoded"
-    if not response.find(headers.SIGNATURE.lower()):
-        return UNKNOWN, True, "unsigned"
-    return DONE, True, ""
--- a/src/jackdawlanding/mesh/links.py
+++ b/src/jackdawlanding/mesh/links.py
@@ -1,4 +1,4 @@
-"""Links between daemons: the calls of one daemon to another over TCP.
+"""Links to other daemons: the calling side, over TCP.
 
 A link that goes silent is replaced. The caller then asks on the new link for
 the replies that it still misses; the host answers with the reply, goes on, or
@@ -22,14 +22,6 @@
 RESUME_SECONDS = 3.0
 UNREACHABLE_SECONDS = 1.0
 IDLE_SECONDS = 20.0
-TICK_SECONDS = 0.1
-# Replies of calls that must not run twice are kept until acknowledged.
-KEPT_SECONDS = 5.0
-# A host goes on with the calls of a lost link for this long.
-ORPHAN_SECONDS = 1.5
-FORGOTTEN_SECONDS = 600.0
-NOT_RECEIVED = "not-received"
-NO_LOAD = messages.Load(running=0, queued=0, limit=0, seconds=0.0)
 
 
 class Pending:
@@ -43,21 +35,6 @@
         self.was_sent = False
 
 
-def make_failure(number, reason, *, outcome):
-    """Return the reply of a call that got none."""
-    return messages.Reply(
-        number=number,
-        outcome=outcome,
-        arrived=outcome is not outcomes.Outcome.NOT_RUN,
-        reason=reason,
-        status=0,
-        headers=[],
-        body=b"",
-        retry_after=0.0,
-        load=NO_LOAD,
-    )
-
-
 class OutLink:
     """The calling side of the link to one host.
 
@@ -104,7 +81,7 @@
     def call(self, call, respond):
         """Send a call; ``respond(reply)`` is called once."""
         if not self.is_reachable:
-            reply = make_failure(
+            reply = messages.make_failure(
                 call.number, "unreachable", outcome=outcomes.Outcome.NOT_RUN
             )
             self._loop.call_soon(lambda: respond(reply))
@@ -213,7 +190,7 @@
         pending = self._pending.pop(reply.number, None)
         if pending is None:
             return
-        if reply.reason == NOT_RECEIVED and pending.call.is_safe:
+        if reply.reason == messages.NOT_RECEIVED and pending.call.is_safe:
             # The host keeps no replies of safe calls: it may have run.
             reply = reply._replace(outcome=outcomes.Outcome.UNKNOWN, arrived=True)
         if not pending.call.is_safe and reply.arrived:
@@ -262,7 +239,9 @@
             if not pending.was_sent:
                 del self._pending[number]
                 pending.respond(
-                    make_failure(number, reason, outcome=outcomes.Outcome.NOT_RUN)
+                    messages.make_failure(
+                        number, reason, outcome=outcomes.Outcome.NOT_RUN
+                    )
                 )
 
     def _try_again(self, now):
@@ -283,7 +262,9 @@
         self._lost_at = None
         self._resuming = False
         for number, one in pending.items():
-            one.respond(make_failure(number, reason, outcome=outcomes.Outcome.UNKNOWN))
+            one.respond(
+                messages.make_failure(number, reason, outcome=outcomes.Outcome.UNKNOWN)
+            )
 
 
 class LinkPool:
@@ -328,178 +309,3 @@
         for host in set(self._links) - set(hosts):
             if not self._links[host].pending:
                 self._links.pop(host).close()
-
-
-class _Served:
-    """One call that this host serves for another daemon."""
-
-    __slots__ = ("ended_at", "handle", "is_safe", "link", "reply")
-
-    def __init__(self, *, link, is_safe):
-        self.link = link
-        self.is_safe = is_safe
-        self.handle = None
-        self.reply = None
-        self.ended_at = 0.0
-
-
-class InLink:
-    """The host's side of one link."""
-
-    def __init__(self, *, server, stream):
-        self._server = server
-        self.stream = stream
-        self._decoder = messages.Decoder()
-        self.hello = None
-        stream.on_data = self._take
-        stream.on_closed = lambda was_reset: server.note_lost(self)
-
-    def send(self, message):
-        """Send a message; on a lost link nothing happens."""
-        self.stream.write(messages.encode(message))
-
-    def _take(self, data):
-        try:
-            received = self._decoder.feed(data)
-        except messages.MessageError as error:
-            logger.warning("links: a peer is cut off: %s", error)
-            self.stream.close()
-            self._server.note_lost(self)
-            return
-        for message in received:
-            if self.stream.is_closed:
-                return
-            self._server.dispatch(self, message)
-
-
-class LinkServer:
-    """The host's sides of all links, and the calls that came over them.
-
-    :param host: a ``hosts.Host``, which runs the calls.
-    :param on_news: called with the link and each message that is no call.
-    """
-
-    def __init__(self, *, loop, incarnation, host, on_news):
-        self._loop = loop
-        self._incarnation = incarnation
-        self._host = host
-        self._on_news = on_news
-        self._links = {}
-        self._served = {}
-        # Incarnations some of whose calls were dropped, by when.
-        self._forgotten = {}
-        self._actions = {
-            messages.Hello: self._greet,
-            messages.Call: self._call,
-            messages.Cancel: self._cancel,
-            messages.Resume: self._resume,
-            messages.Ack: self._acknowledge,
-            messages.Ping: self._answer_ping,
-        }
-
-    @property
-    def links(self):
-        """The links by the caller's incarnation."""
-        return self._links
-
-    def accept(self, stream, host):
-        """Take a new connection; called by a listener."""
-        InLink(server=self, stream=stream)
-
-    def dispatch(self, link, message):
-        """Serve one message of a link."""
-        action = self._actions.get(type(message))
-        if action is None:
-            self._on_news(link, message)
-        elif link.hello is None and action != self._greet:
-            logger.warning("links: a peer that did not say who it is is cut off.")
-            link.stream.close()
-        else:
-            action(link, message)
-
-    def note_lost(self, link):
-        """Go on with the calls of a lost link for a while, then drop them."""
-        if link.hello and self._links.get(link.hello.incarnation) is link:
-            self._loop.call_later(ORPHAN_SECONDS, lambda: self._drop_orphans(link))
-
-    def sweep(self):
-        """Forget replies that were kept for long enough."""
-        now = time.monotonic()
-        for key, served in list(self._served.items()):
-            if served.reply and now - served.ended_at > KEPT_SECONDS:
-                self._forgotten[key[0]] = now
-                del self._served[key]
-        for incarnation, at in list(self._forgotten.items()):
-            if now - at > FORGOTTEN_SECONDS:
-                del self._forgotten[incarnation]
-
-    def _greet(self, link, hello):
-        older = self._links.get(hello.incarnation)
-        link.hello = hello
-        self._links[hello.incarnation] = link
-        if older is not None and older is not link:
-            # What still arrives on the older link must not start a call.
-            older.stream.close()
-            for key, served in self._served.items():
-                if key[0] == hello.incarnation:
-                    served.link = link
-        link.send(messages.Welcome(incarnation=self._incarnation))
-
-    def _call(self, link, call):
-        key = (link.hello.incarnation, call.number)
-        if key in self._served:
-            logger.warning("links: call %d came twice.", call.number)
-            return
-        served = self._served[key] = _Served(link=link, is_safe=call.is_safe)
-        served.handle = self._host.offer(
-            call, lambda reply: self._finish(key, served, reply)
-        )
-
-    def _finish(self, key, served, reply):
-        served.link.send(reply)
-        is_kept = reply.arrived and not served.is_safe
-        if not is_kept and not served.link.stream.is_closed:
-            self._served.pop(key, None)
-            return
-        served.reply = reply
-        served.handle = None
-        served.ended_at = time.monotonic()
-
-    def _cancel(self, link, message):
-        served = self._served.pop((link.hello.incarnation, message.number), None)
-        if served and served.handle:
-            self._host.cancel(served.handle)
-
-    def _resume(self, link, message):
-        for number in message.numbers:
-            served = self._served.get((link.hello.incarnation, number))
-            if served is None:
-                link.send(self._make_unknown(link.hello.incarnation, number))
-            elif served.reply is not None:
-                link.send(served.reply)
-
-    def _make_unknown(self, incarnation, number):
-        """Return the reply for a call that this host does not know."""
-        if incarnation in self._forgotten:
-            return make_failure(number, "forgotten", outcome=outcomes.Outcome.UNKNOWN)
-        return make_failure(number, NOT_RECEIVED, outcome=outcomes.Outcome.NOT_RUN)
-
-    def _acknowledge(self, link, message):
-        for number in message.numbers:
-            self._served.pop((link.hello.incarnation, number), None)
-
-    def _answer_ping(self, link, message):
-        link.send(messages.Pong(number=message.number))
-
-    def _drop_orphans(self, link):
-        incarnation = link.hello.incarnation
-        if self._links.get(incarnation) is not link:
-            return
-        del self._links[incarnation]
-        self._forgotten[incarnation] = time.monotonic()
-        for key, served in list(self._served.items()):
-            if key[0] != incarnation:
-                continue
-            del self._served[key]
-            if served.handle:
-                self._host.cancel(served.handle)
--- a/src/jackdawlanding/mesh/messages.py
+++ b/src/jackdawlanding/mesh/messages.py
@@ -4,6 +4,8 @@
 
 import msgpack
 
+from jackdawlanding.decisions import outcomes
+
 MAXIMUM_BYTES = 96 << 20
 # Each of many links has a buffer of this size.
 BUFFER_BYTES = 4096
@@ -147,6 +149,10 @@
     host: str
 
 
+# The reason of a reply to a call that never came.
+NOT_RECEIVED = "not-received"
+NO_LOAD = Load(running=0, queued=0, limit=0, seconds=0.0)
+
 KINDS = (
     Hello,
     Welcome,
@@ -165,6 +171,21 @@
 _pack = msgpack.Packer(autoreset=True).pack
 
 
+def make_failure(number, reason, *, outcome):
+    """Return the reply of a call that got none."""
+    return Reply(
+        number=number,
+        outcome=outcome,
+        arrived=outcome is not outcomes.Outcome.NOT_RUN,
+        reason=reason,
+        status=0,
+        headers=[],
+        body=b"",
+        retry_after=0.0,
+        load=NO_LOAD,
+    )
+
+
 class MessageError(Exception):
     """Bytes of a peer that are no message; its link must be closed."""
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -380,10 +380,11 @@
         while True:
             try:
                 near, _ = self._listener.accept()
+            except OSError:
+                return
+            try:
                 far = socket.create_connection(self._target, timeout=2)
             except OSError:
-                if self._listener.fileno() < 0:
-                    return
                 near.close()
                 continue
             pair = (near, far)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -4,7 +4,7 @@
 import unittest
 
 from jackdawlanding.decisions import outcomes
-from jackdawlanding.mesh import links, loop as loops, messages, streams
+from jackdawlanding.mesh import links, loop as loops, messages, serving, streams
 from tests import meshes, standins
 
 HOST = "127.0.0.1"
@@ -27,7 +27,7 @@
         self.cancelled.append(handle)
 
     def finish(self, number, outcome=outcomes.Outcome.DONE):
-        reply = links.make_failure(number, "", outcome=outcome)
+        reply = messages.make_failure(number, "", outcome=outcome)
         self.calls[number](reply._replace(status=200, body=b"x"))
 
 
@@ -80,7 +80,7 @@
         self.replies = {}
 
     def start_host(self, incarnation, port=0):
-        self.server = links.LinkServer(
+        self.server = serving.LinkServer(
             loop=self.loop,
             incarnation=incarnation,
             host=self.host,
