--- a/src/jackdawlanding/decisions/selection.py
+++ b/src/jackdawlanding/decisions/selection.py
@@ -101,9 +101,7 @@
             return SAME_REGION
         return OTHER_REGION
 
-    def choose(
-        self, *, now, backends, kind, left, is_chained=False, exclude=(), farthest=2
-    ):
+    def choose(self, *, now, backends, kind, left, is_chained=False, exclude=()):
         """Return a backend, or ``None`` where none may be tried.
 
         :param backends: ``directory.Backend`` s of the service.
@@ -111,15 +109,12 @@
         :param left: seconds until the objective.
         :param is_chained: whether others wait for this call to make their next.
         :param exclude: instances already tried.
-        :param farthest: the order of the farthest tier to try.
         """
         best, best_key = None, None
         for backend in backends:
             if backend.is_draining or backend.instance in exclude:
                 continue
             tier = self.find_tier(backend.failure_domain)
-            if tier.order > farthest:
-                continue
             key = self._rate(now, backend, kind, None if is_chained else left, tier)
             if best_key is None or key < best_key:
                 best, best_key = backend, key
--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -172,7 +172,7 @@
             log=self.log,
             generator=random.Random(),
         )
-        self.knowledge.subscribe(self.loop.coalesce(self.host.apply_backend))
+        self.knowledge.subscribe(self.loop.coalesce(self._apply_directory))
 
     def _listen(self):
         settings = self.settings
@@ -251,6 +251,10 @@
         elif not self.gossip.handle(link, message):
             logger.warning("links: a message of no use: %s.", type(message).__name__)
 
+    def _apply_directory(self):
+        self.host.apply_backend()
+        self.links.keep(self.knowledge.directory.list_hosts())
+
     def _tick(self):
         self.links.tick()
         self.server.sweep()
--- a/src/jackdawlanding/mesh/entry.py
+++ b/src/jackdawlanding/mesh/entry.py
@@ -13,16 +13,19 @@
 
 logger = logging.getLogger("jackdaw.entry")
 
-# Hosts that one request is offered to, at most.
+# Hosts that one request is offered to, at most: refusals are free, but each takes
+# a round trip, up to 60 ms between regions.
 MAXIMUM_OFFERS = 5
-# Of the time to the objective; a refusal that comes later is worth less.
-OFFER_SHARE = 0.125
-# What is known is too old to tell a caller that a route does not exist.
+# What is known is too old to tell a caller that a route does not exist: a
+# configuration must be in force within seconds.
 STALE_SECONDS = 3.0
+# When to come back to a daemon that knows nothing yet, or of no instance; both
+# usually pass within one exchange of news.
 UNREADY_RETRY_SECONDS = 0.5
 NO_INSTANCE_RETRY_SECONDS = 0.3
-# Lowest time worth another offer.
+# Lowest time worth another offer: less than the shortest work.
 LEAST_LEFT_SECONDS = 0.02
+# One in so many good answers is logged.
 SAMPLE_EVERY = 100
 
 _OWN_HEADERS = frozenset(
@@ -42,6 +45,9 @@
     :param knowledge: a ``gossip.Knowledge``.
     :param links: a ``links.LinkPool``.
     :param host: the own ``hosts.Host``.
+    :param metrics: a ``metrics.Metrics``.
+    :param log: a ``records.Log``.
+    :param generator: a ``random.Random``, for ties and probes.
     """
 
     def __init__(
--- a/src/jackdawlanding/mesh/hosts.py
+++ b/src/jackdawlanding/mesh/hosts.py
@@ -21,6 +21,7 @@
 CRASH_CHECK_SECONDS = 0.02
 PROBE_SECONDS = 0.25
 SWEEP_SECONDS = 0.05
+# When work that is paced should come back: a few of its runs have ended by then.
 PACED_RETRY_SECONDS = 0.25
 
 
@@ -56,6 +57,7 @@
     :param address: its address.
     :param knowledge: a ``gossip.Knowledge``.
     :param metrics: a ``metrics.Metrics``.
+    :param log: a ``records.Log``.
     """
 
     def __init__(self, *, loop, service, address, knowledge, metrics, log):
--- a/src/jackdawlanding/mesh/links.py
+++ b/src/jackdawlanding/mesh/links.py
@@ -18,8 +18,9 @@
 # A link with calls under way that hears nothing asks, then is replaced.
 PING_SECONDS = 0.3
 SILENT_SECONDS = 0.7
-# Tries to reach a silent host go on for as long as a call may wait there.
+# Tries to reach a silent host go on for as long as most callers wait.
 RESUME_SECONDS = 3.0
+# A host that can't be reached is not tried again for so long.
 UNREACHABLE_SECONDS = 1.0
 IDLE_SECONDS = 20.0
 
@@ -294,10 +295,6 @@
             )
         return link
 
-    def list_links(self):
-        """Return all links."""
-        return list(self._links.values())
-
     def tick(self):
         """Look after all links."""
         now = time.monotonic()
