Hold what daemons claim to know against the store's history, by a fuzz

Found at once: a daemon that had heard from one that knew nothing took its own ignorance for an outage and held removals. Such news vouch for nothing now.

--- a/Makefile
+++ b/Makefile
@@ -24,4 +24,5 @@
 # A long search for schedules that break a promise; CI runs a short, fixed one.
 fuzz: .venv/ready
 	JACKDAW_FUZZ_EXAMPLES=5000 $(BIN)/python -m nose2 -v tests.test_fuzz_once_only \
-		tests.test_fuzz_admission tests.test_fuzz_publications
+		tests.test_fuzz_admission tests.test_fuzz_publications \
+		tests.test_fuzz_slots tests.test_fuzz_gossip
--- a/src/jackdawlanding/mesh/gossip.py
+++ b/src/jackdawlanding/mesh/gossip.py
@@ -339,7 +339,8 @@
         if news.is_whole:
             names = {name for name, _, _ in news.records}
             knowledge.finish_listing(names=names, revision=news.revision, source="peer")
-        if knowledge.directory.complete_at >= news.since:
+        # A sender that has not reached the store yet vouches for nothing.
+        if news.revision and knowledge.directory.complete_at >= news.since:
             knowledge.directory.confirm(revision=news.revision, at=now - news.age)
         if knowledge.learn_suspects(news.suspects):
             self._note_change("suspects")
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -117,6 +117,11 @@
         self.assertEqual(known.complete_at, 10)
         self.assertEqual(known.history_from, 10)
 
+    def test_one_that_knows_nothing_vouches_for_nothing(self):
+        increment = self.wire.daemons["c"]._make_increment(tree=gossip.NO_TREE)
+        self.wire.deliver("c", "d", increment)
+        self.assertEqual(self.wire.know("d").directory.confirmed_at, float("-inf"))
+
     def test_missed_news_are_asked_for(self):
         self.remove("a", 2, 12)
         increment = self.wire.daemons["a"]._make_increment(tree=gossip.NO_TREE)
