--- a/src/jackdawlanding/mesh/records.py
+++ b/src/jackdawlanding/mesh/records.py
@@ -104,7 +104,7 @@
 class Log:
     """Notes decisions and changes of belief as structured lines.
 
-    :param is_quiet: drop lines about requests, for tests.
+    ``held_back`` counts lines about requests that were over their rate.
     """
 
     def __init__(self):
