Remove what nothing calls in the mesh and the adapter

Found on a second reading: a reset of streams, a forecast of returns, the read of one key and two constants that lost their callers.

--- a/src/jackdawlanding/decisions/slots.py
+++ b/src/jackdawlanding/decisions/slots.py
@@ -158,10 +158,6 @@
         queue, self._queue = self._queue, []
         return queue
 
-    def find_return(self):
-        """Return when a refused job should come back, in seconds."""
-        return self._find_return(len(self._queue))
-
     def _admit(self, now, job):
         job.admitted_at = now
         self.running += 1
--- a/src/jackdawlanding/mesh/streams.py
+++ b/src/jackdawlanding/mesh/streams.py
@@ -4,7 +4,6 @@
 import logging
 import select
 import socket
-import struct
 
 from jackdawlanding.mesh import loop as loops
 
@@ -14,7 +13,6 @@
 ACCEPTS_PER_TURN = 128
 # A peer that acknowledges nothing for so long is gone; a silent link looks so.
 SILENT_MILLIS = 2500
-_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class Stream:
@@ -101,15 +99,6 @@
             self._loop.forget(self.sock.fileno())
             self.sock.close()
 
-    def abort(self):
-        """Close with a reset, so that the far side sees a broken connection."""
-        if not self.is_closed:
-            try:
-                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-            except OSError as error:
-                logger.debug("streams: no reset (%s).", error)
-            self.close()
-
     def close_after_flush(self):
         """Close once all that was written is sent."""
         if not self._out:
--- a/src/jackdawlanding/mesh/traces.py
+++ b/src/jackdawlanding/mesh/traces.py
@@ -5,7 +5,6 @@
 
 # Fields that each line has, or that are shown apart.
 _COMMON = frozenset({"at", "daemon", "part", "text", "request"})
-AROUND_SECONDS = 3.0
 
 
 class Line(typing.NamedTuple):
--- a/src/jackdawlanding/platform/calls.py
+++ b/src/jackdawlanding/platform/calls.py
@@ -3,17 +3,11 @@
 import urllib.parse
 
 READINESS_PATH = "/jackdawlanding/readiness"
-_KEY_PATH = "/jackdawlanding/kv-key"
 _RANGE_PATH = "/jackdawlanding/kv-range"
 _WATCH_PATH = "/jackdawlanding/kv-watch"
 MAXIMUM_WAIT_MILLIS = 30000
 
 
-def format_key(key):
-    """Return the target that reads one key."""
-    return f"{_KEY_PATH}?{urllib.parse.urlencode({'key': key})}"
-
-
 def format_range(prefix, *, after=""):
     """Return the target that lists a prefix, beyond the key ``after``."""
     query = {"prefix": prefix}
--- a/src/jackdawlanding/platform/documents.py
+++ b/src/jackdawlanding/platform/documents.py
@@ -52,14 +52,6 @@
         raise DocumentError(f"the store's answer can't be read: {error!r}") from error
 
 
-def decode_item(data):
-    """Decode the answer to the read of one key; see :func:`decode_page`."""
-    try:
-        return _decode_item(json.loads(data))
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
-        raise DocumentError(f"the store's item can't be read: {error!r}") from error
-
-
 def _decode_item(entry):
     value = None
     if not entry.get("removed"):
