Read and write HTTP in one place for both daemons

Cause: requests and responses were parsed, bounded and formatted twice, in daemon/listener.py, daemon/backend.py and daemon/messages.py and again in mesh/http.py, and had begun to differ: the first daemon failed every answer without a length, the mesh daemon read a declared body that was over its bound to the end, neither answered HEAD well, and both kept a connection on which the begin of another response had already come.

Change: wire/http.py serves both. A response without a length ends with its connection; a declared body over the bound is refused by its head; the answer to HEAD has no body; a connection with bytes of another response is not kept.

--- a/src/jackdawlanding/daemon/admin.py
+++ b/src/jackdawlanding/daemon/admin.py
@@ -8,6 +8,7 @@
 
 from jackdawlanding.daemon import messages
 from jackdawlanding.decisions import outcomes
+from jackdawlanding.wire import http
 
 JSON_TYPE = b"application/json"
 
@@ -47,7 +48,7 @@
             status, kind, body = self._pages[endpoint]()
         except http_exceptions.HTTPException as error:
             status, kind, body = error.code, b"text/plain", f"{error.name}\n".encode()
-        response = messages.Response(
+        response = http.Response(
             status=status, headers=((b"Content-Type", kind),), body=body
         )
         return messages.Answer(response=response, outcome=outcomes.Outcome.DONE)
--- a/src/jackdawlanding/daemon/backend.py
+++ b/src/jackdawlanding/daemon/backend.py
@@ -9,14 +9,13 @@
 import threading
 import time
 
-import httptools
-
-from jackdawlanding.daemon import messages
-from jackdawlanding.wire import framing
+from jackdawlanding.wire import framing, http
 
 READ_BYTES = 65536
 MAXIMUM_IDLE_CONNECTIONS = 64
 CONNECT_TIMEOUT_SECONDS = 1.0
+# Methods whose requests say their length even where it is 0.
+BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 
 
 class BackendError(Exception):
@@ -32,48 +31,6 @@
         self.sent = sent
 
 
-class _ResponseReader:
-    """Collects one response; the parser calls its ``on_`` methods."""
-
-    def __init__(self, *, method, maximum_body):
-        self.headers = []
-        self.chunks = []
-        self.size = 0
-        self.is_whole = False
-        self.is_framed = False
-        self.status = 0
-        self.keep_alive = False
-        self._maximum_body = maximum_body
-        self._has_no_body = method == "HEAD"
-        self._parser = httptools.HttpResponseParser(self)
-
-    def feed(self, data):
-        self._parser.feed_data(data)
-
-    def on_header(self, name, value):
-        self.headers.append((name, value))
-        self.is_framed |= name.lower() in (b"content-length", b"transfer-encoding")
-
-    def on_headers_complete(self):
-        self.status = self._parser.get_status_code()
-        self.keep_alive = self._parser.should_keep_alive()
-        if self._has_no_body or self.status in (204, 304):
-            self.is_whole = True
-
-    def on_body(self, data):
-        self.size += len(data)
-        if self.size > self._maximum_body:
-            raise BackendError(reason="cut-short", sent=True)
-        self.chunks.append(data)
-
-    def on_message_complete(self):
-        # A 1xx response comes before the one that counts.
-        if self.status < 200:
-            self.headers, self.chunks = [], []
-            return
-        self.is_whole = True
-
-
 class BackendClient:
     """Sends calls to one backend server over kept connections.
 
@@ -97,8 +54,12 @@
         """
         end = time.monotonic() + timeout
         sock = self._take() or self._connect(timeout)
-        data = messages.format_request(
-            method=method, target=target, headers=headers, body=body
+        data = http.format_request(
+            method=method,
+            target=target,
+            headers=headers,
+            body=body,
+            has_body=method in BODY_METHODS,
         )
         try:
             cancellation.attach(sock)
@@ -111,17 +72,18 @@
         except TimeoutError:
             sock.close()
             raise BackendError(reason="timeout", sent=True) from None
-        except (OSError, httptools.HttpParserError):
+        except OSError:
             sock.close()
             raise BackendError(reason="died", sent=True) from None
+        except http.ResponseError:
+            sock.close()
+            raise BackendError(reason="cut-short", sent=True) from None
         finally:
             cancellation.attach(None)
         self._give_back(sock, reader)
-        return messages.Response(
-            status=reader.status,
-            headers=messages.clean_answer(reader.headers),
-            body=b"".join(reader.chunks),
-        )
+        response = reader.ready[0]
+        headers = tuple(http.list_end_to_end(response.headers))
+        return response._replace(headers=headers)
 
     def close(self):
         """Close idle connections."""
@@ -131,26 +93,25 @@
             sock.close()
 
     def _read(self, sock, method, end):
-        reader = _ResponseReader(method=method, maximum_body=self._maximum_body)
+        reader = http.ResponseReader(
+            is_head=method == "HEAD", body_bytes=self._maximum_body
+        )
         received = False
-        while not reader.is_whole:
+        while not reader.ready:
             left = end - time.monotonic()
             if left <= 0:
                 raise TimeoutError
             sock.settimeout(left)
             data = sock.recv(READ_BYTES)
             if not data:
+                reader.finish()
+                if reader.ready:
+                    break
                 reason = "cut-short" if received else "died"
                 raise BackendError(reason=reason, sent=True)
             received = True
-            self._feed(reader, data)
-        return reader
-
-    def _feed(self, reader, data):
-        try:
             reader.feed(data)
-        except httptools.HttpParserCallbackError as error:
-            raise BackendError(reason="cut-short", sent=True) from error
+        return reader
 
     def _take(self):
         while True:
@@ -173,7 +134,7 @@
 
     def _give_back(self, sock, reader):
         with self._lock:
-            if reader.keep_alive and len(self._idle) < MAXIMUM_IDLE_CONNECTIONS:
+            if reader.is_reusable and len(self._idle) < MAXIMUM_IDLE_CONNECTIONS:
                 self._idle.append(sock)
                 return
         sock.close()
--- a/src/jackdawlanding/daemon/dispatch.py
+++ b/src/jackdawlanding/daemon/dispatch.py
@@ -4,7 +4,7 @@
 
 from jackdawlanding.daemon import local, messages, peers
 from jackdawlanding.decisions import outcomes, rendezvous
-from jackdawlanding.wire import codec, framing
+from jackdawlanding.wire import codec, framing, http
 
 MAXIMUM_TRIES = 4
 ROLE_SERVE = 0
@@ -206,7 +206,7 @@
 def convert_answer(reply):
     """Convert a peer's reply to an answer."""
     message = reply.message
-    response = messages.Response(
+    response = http.Response(
         status=message.status,
         headers=messages.unpack(message.headers),
         body=reply.body,
--- a/src/jackdawlanding/daemon/doors.py
+++ b/src/jackdawlanding/daemon/doors.py
@@ -59,8 +59,8 @@
     def serve_backend(self, request):
         """Answer a request that the own backend server makes."""
         began = time.monotonic()
-        service = request.find(HOST).partition(":")[0]
-        token = request.find(CALL_TOKEN)
+        service = request.find_text(HOST).partition(":")[0]
+        token = request.find_text(CALL_TOKEN)
         parent = self._context.held.find(token, service=service)
         declaration = self._context.find_declaration(service)
         if declaration is None:
@@ -237,13 +237,13 @@
 
 def _find_caller(declaration, request):
     name = declaration.caller.header
-    return (request.find(name.lower().encode()) if name else "") or request.peer
+    return (request.find_text(name.lower().encode()) if name else "") or request.peer
 
 
 def _find_key(work, request):
     if not work.key_header:
         return ""
-    return request.find(work.key_header.lower().encode())
+    return request.find_text(work.key_header.lower().encode())
 
 
 def _tell_outcome(call, answer):
--- a/src/jackdawlanding/daemon/messages.py
+++ b/src/jackdawlanding/daemon/messages.py
@@ -1,11 +1,11 @@
-"""HTTP requests, responses and answers as the daemon's parts pass them on."""
+"""Answers and refusals as the daemon's parts pass them on, and their headers."""
 
-import http
 import json
 import random
 import typing
 
 from jackdawlanding.decisions import outcomes
+from jackdawlanding.wire import http
 
 PREFIX = b"jackdaw-"
 CALL_HEADER = b"Jackdaw-Call"
@@ -15,50 +15,9 @@
 CALLER_HEADER = b"Jackdaw-Caller"
 OUTCOME_HEADER = b"Jackdaw-Outcome"
 REASON_HEADER = b"Jackdaw-Reason"
-HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    }
-)
 RETRY_AFTER_SECONDS = (1, 4)
 
 
-class Request(typing.NamedTuple):
-    """A whole HTTP request. ``headers`` holds pairs of bytes."""
-
-    method: str
-    target: str
-    headers: tuple
-    body: bytes
-    keep_alive: bool = True
-    peer: str = ""
-
-    def find(self, name):
-        """Return the text of the first header ``name`` (lower-case bytes), or ''."""
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value.decode("latin-1")
-        return ""
-
-
-class Response(typing.NamedTuple):
-    """A whole HTTP response. ``headers`` holds pairs of bytes."""
-
-    status: int
-    headers: tuple
-    body: bytes
-
-
 class Answer(typing.NamedTuple):
     """What became of a call: a response, its outcome and, if refused, why.
 
@@ -67,7 +26,7 @@
     then holds for the key and not for this attempt alone.
     """
 
-    response: Response
+    response: http.Response
     outcome: outcomes.Outcome
     reason: str = ""
     retried: bool = False
@@ -141,7 +100,7 @@
     if kind.status in (429, 503):
         wait = random.randint(*RETRY_AFTER_SECONDS)
         headers.append((b"Retry-After", str(wait).encode()))
-    response = Response(
+    response = http.Response(
         status=kind.status,
         headers=tuple(headers),
         body=json.dumps(document).encode(),
@@ -153,18 +112,8 @@
     """Return ``headers`` without hop-by-hop headers and headers of our own."""
     return tuple(
         (key, value)
-        for key, value in headers
-        if key.lower() not in HOP_BY_HOP and not key.lower().startswith(PREFIX)
-    )
-
-
-def clean_answer(headers):
-    """Return a backend server's headers without hop-by-hop headers.
-
-    Its own outcome header stays: a backend server says by it what it refused.
-    """
-    return tuple(
-        (key, value) for key, value in headers if key.lower() not in HOP_BY_HOP
+        for key, value in http.list_end_to_end(headers)
+        if not key.lower().startswith(PREFIX)
     )
 
 
@@ -179,26 +128,3 @@
         return ()
     pairs = (line.partition(b": ") for line in data.split(b"\r\n"))
     return tuple((key, value) for key, _, value in pairs)
-
-
-def format_request(*, method, target, headers, body):
-    """Return the bytes of an HTTP/1.1 request with a framed body."""
-    lines = [f"{method} {target} HTTP/1.1".encode("latin-1"), pack(headers)]
-    if body or method in ("POST", "PUT", "PATCH"):
-        lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(line for line in lines if line) + b"\r\n\r\n" + body
-
-
-def format_response(response, *, keep_alive, head_only=False):
-    """Return the bytes of an HTTP/1.1 response with a framed body."""
-    try:
-        phrase = http.HTTPStatus(response.status).phrase
-    except ValueError:
-        phrase = "Unknown"
-    lines = [f"HTTP/1.1 {response.status} {phrase}".encode(), pack(response.headers)]
-    if response.status not in (204, 304):
-        lines.append(b"Content-Length: %d" % len(response.body))
-    if not keep_alive:
-        lines.append(b"Connection: close")
-    head = b"\r\n".join(line for line in lines if line) + b"\r\n\r\n"
-    return head if head_only else head + response.body
--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -14,7 +14,6 @@
     entry as entries,
     gossip,
     hosts,
-    http,
     links,
     loop as loops,
     messages,
@@ -26,6 +25,7 @@
 )
 from jackdawlanding.platform import calls, documents
 from jackdawlanding.settings import mesh as settings_files
+from jackdawlanding.wire import http
 
 logger = logging.getLogger("jackdaw.mesh")
 
--- a/src/jackdawlanding/mesh/backends.py
+++ b/src/jackdawlanding/mesh/backends.py
@@ -8,7 +8,8 @@
 import time
 import typing
 
-from jackdawlanding.mesh import http, streams
+from jackdawlanding.mesh import streams
+from jackdawlanding.wire import http
 
 logger = logging.getLogger("jackdaw.backends")
 
@@ -51,6 +52,8 @@
 
     def start(self, exchange):
         self.exchange = exchange
+        if exchange.is_head:
+            self.reader = http.ResponseReader(is_head=True)
         self.stream.write(exchange.data)
 
     def close(self):
@@ -86,8 +89,8 @@
 
     def _finish(self, response, tainted):
         exchange, self.exchange = self.exchange, None
-        unsent = self.stream.unsent
-        if self.reader.keep_alive and not tainted and not unsent:
+        tainted = tainted or exchange.is_head or self.stream.unsent
+        if self.reader.is_reusable and not tainted:
             self.idle_seconds = _find_idle_seconds(response)
             self.pool.give_back(self)
         else:
@@ -116,11 +119,14 @@
 class Exchange:
     """One request under way; :meth:`cancel` closes its connection.
 
+    :param data: the bytes of the request.
+    :param is_head: whether its method is HEAD.
     :param done: called once with a :class:`Result`, unless cancelled.
     """
 
-    def __init__(self, *, data, id_header, request_id, done):
+    def __init__(self, *, data, is_head, id_header, request_id, done):
         self.data = data
+        self.is_head = is_head
         self.id_header = id_header
         self.request_id = request_id
         self.connection = None
--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -3,7 +3,7 @@
 import logging
 import time
 
-from jackdawlanding.mesh import http
+from jackdawlanding.wire import http
 
 logger = logging.getLogger("jackdaw.callers")
 
@@ -96,7 +96,10 @@
         if self.stream.is_closed:
             return
         keep_alive = request.keep_alive and not self._front.is_leaving
-        self.stream.write(http.format_response(response, keep_alive=keep_alive))
+        data = http.format_response(
+            response, keep_alive=keep_alive, is_head=request.method == "HEAD"
+        )
+        self.stream.write(data)
         if not keep_alive:
             self._waiting.clear()
             self._front.forget(self)
--- a/src/jackdawlanding/mesh/entry.py
+++ b/src/jackdawlanding/mesh/entry.py
@@ -8,8 +8,9 @@
 import time
 
 from jackdawlanding.decisions import budgets, outcomes, selection, splits
-from jackdawlanding.mesh import exchanges, http, messages
+from jackdawlanding.mesh import exchanges, messages
 from jackdawlanding.platform import headers
+from jackdawlanding.wire import http
 
 logger = logging.getLogger("jackdaw.entry")
 
--- a/src/jackdawlanding/mesh/fetching.py
+++ b/src/jackdawlanding/mesh/fetching.py
@@ -1,6 +1,7 @@
 """Reads over one kept HTTP connection, one at a time, each with a time limit."""
 
-from jackdawlanding.mesh import http, streams
+from jackdawlanding.mesh import streams
+from jackdawlanding.wire import http
 
 
 class Fetcher:
@@ -58,7 +59,7 @@
         ready, self._reader.ready = self._reader.ready, []
         if not ready:
             return
-        if self._done is None or not self._reader.keep_alive:
+        if self._done is None or not self._reader.is_reusable:
             self._drop()
         if self._done is not None:
             self._finish(ready[0])
--- a/src/jackdawlanding/mesh/hosts.py
+++ b/src/jackdawlanding/mesh/hosts.py
@@ -8,8 +8,9 @@
 import time
 
 from jackdawlanding.decisions import pacing, slots
-from jackdawlanding.mesh import backends, http, messages, streams, verdicts
+from jackdawlanding.mesh import backends, messages, streams, verdicts
 from jackdawlanding.platform import headers
+from jackdawlanding.wire import http
 
 logger = logging.getLogger("jackdaw.host")
 
@@ -206,6 +207,7 @@
                 body=call.body,
                 has_body=call.has_body,
             ),
+            is_head=call.method == "HEAD",
             id_header=headers.REQUEST_ID.lower(),
             request_id=call.request_id.encode("latin-1"),
             done=lambda result: self._finish(handle, result),
--- a/src/jackdawlanding/mesh/http.py
+++ b/src/jackdawlanding/wire/http.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 heads and bodies: parsing by httptools, formatting here."""
+"""HTTP/1.1 requests and responses: parsing by httptools, formatting here."""
 
 import http
 import typing
@@ -25,7 +25,10 @@
 
 
 class Request(typing.NamedTuple):
-    """A whole request; ``headers`` are pairs of bytes as they came."""
+    """A whole request; ``headers`` are pairs of bytes as they came.
+
+    :param peer: the sender's host, where the reader's owner fills it in.
+    """
 
     method: str
     target: str
@@ -33,6 +36,7 @@
     body: bytes
     has_body: bool
     keep_alive: bool
+    peer: str = ""
 
     def find(self, name):
         """Return the first value of a lower-case header name, or ``b''``."""
@@ -41,6 +45,10 @@
                 return value
         return b""
 
+    def find_text(self, name):
+        """Return what :meth:`find` does, as text."""
+        return self.find(name).decode("latin-1")
+
 
 class Response(typing.NamedTuple):
     """A whole response; ``headers`` are pairs of bytes."""
@@ -74,7 +82,7 @@
 
     ``has_begun`` and ``has_head`` tell how far the next request has come.
 
-    :param limits: a ``routes.Limits``.
+    :param limits: has ``head_bytes`` and ``body_bytes``.
     """
 
     def __init__(self, *, limits):
@@ -120,12 +128,14 @@
     def on_headers_complete(self):
         """Note the end of the head; called by the parser."""
         self.has_head = True
+        for name, value in self._headers:
+            if name.lower() == b"content-length":
+                self._check_body(int(value))
 
     def on_body(self, data):
         """Collect a part of the body; called by the parser."""
         self._body_bytes += len(data)
-        if self._body_bytes > self._limits.body_bytes:
-            self._fail(413, f"the body is over {self._limits.body_bytes} bytes")
+        self._check_body(self._body_bytes)
         self._chunks.append(data)
 
     def on_message_complete(self):
@@ -158,20 +168,35 @@
         if self._head_bytes > self._limits.head_bytes:
             self._fail(431, f"the head is over {self._limits.head_bytes} bytes")
 
+    def _check_body(self, size):
+        if size > self._limits.body_bytes:
+            self._fail(413, f"the body is over {self._limits.body_bytes} bytes")
+
     def _fail(self, status, detail):
         self._error = RequestError(status=status, detail=detail)
         raise self._error
 
 
 class ResponseReader:
-    """Cuts a byte stream into responses, which are appended to ``ready``."""
+    """Cuts a byte stream into responses, which are appended to ``ready``.
+
+    :param is_head: whether the responses answer HEAD requests, so have no body.
+    :param body_bytes: the largest body that is taken, ``None`` for any.
+    """
 
-    def __init__(self):
+    def __init__(self, *, is_head=False, body_bytes=None):
         self.ready = []
-        self.keep_alive = False
+        self._keeps_alive = False
+        self._is_head = is_head
+        self._body_bytes = body_bytes
         self._parser = httptools.HttpResponseParser(self)
         self._reset()
 
+    @property
+    def is_reusable(self):
+        """Whether the last response leaves its connection fit for another."""
+        return self._keeps_alive and not self._in_message
+
     def feed(self, data):
         """Parse received bytes.
 
@@ -188,6 +213,10 @@
         if self._has_head and not self._is_framed:
             self._complete(keep_alive=False)
 
+    def on_message_begin(self):
+        """Note that a message begins; called by the parser."""
+        self._in_message = True
+
     def on_header(self, name, value):
         """Collect a header; called by the parser."""
         self._headers.append((name, value))
@@ -197,9 +226,14 @@
     def on_headers_complete(self):
         """Note the end of the head; called by the parser."""
         self._has_head = self._parser.get_status_code() >= 200
+        if self._has_head and self._is_head:
+            self._complete(keep_alive=self._parser.should_keep_alive())
 
     def on_body(self, data):
         """Collect a part of the body; called by the parser."""
+        self._size += len(data)
+        if self._body_bytes is not None and self._size > self._body_bytes:
+            raise ResponseError(f"the body is over {self._body_bytes} bytes")
         self._chunks.append(data)
 
     def on_message_complete(self):
@@ -207,16 +241,20 @@
         if self._parser.get_status_code() < 200:
             self._reset()
             return
+        if self._is_head:
+            return
         self._complete(keep_alive=self._parser.should_keep_alive())
 
     def _reset(self):
         self._headers = []
         self._chunks = []
+        self._size = 0
+        self._in_message = False
         self._is_framed = False
         self._has_head = False
 
     def _complete(self, *, keep_alive):
-        self.keep_alive = keep_alive
+        self._keeps_alive = keep_alive
         self.ready.append(
             Response(
                 status=self._parser.get_status_code(),
@@ -249,21 +287,20 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
-def format_response(response, *, keep_alive, idle_seconds=0.0):
+def format_response(response, *, keep_alive, is_head=False):
     """Return the bytes of a response.
 
-    :param idle_seconds: announced as the time a connection is kept, if above 1.
+    :param is_head: whether it answers a HEAD request, so is sent without its body.
     """
     phrase = _PHRASES.get(response.status, b"Unknown")
     lines = [b"HTTP/1.1 %d %s" % (response.status, phrase)]
     lines += [name + b": " + value for name, value in response.headers]
-    if response.status not in NO_BODY_STATUSES:
+    if not is_head and response.status not in NO_BODY_STATUSES:
         lines.append(b"Content-Length: %d" % len(response.body))
     if not keep_alive:
         lines.append(b"Connection: close")
-    elif idle_seconds >= 1:
-        lines.append(b"Keep-Alive: timeout=%d" % int(idle_seconds))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + response.body
+    head = b"\r\n".join(lines) + b"\r\n\r\n"
+    return head if is_head else head + response.body
 
 
 def make_text(status, text, *, headers=()):
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,7 +14,7 @@
     "daemon": {"daemon", "wire", "settings", "decisions"},
     "emulator": {"emulator", "settings"},
     "platform": {"platform", "decisions"},
-    "mesh": {"mesh", "platform", "settings", "decisions"},
+    "mesh": {"mesh", "platform", "settings", "decisions", "wire"},
     "cli": {"cli", "daemon", "mesh", "settings", "exceptions"},
 }
 OUTSIDE = {"socket", "select", "time", "pycurl", "httptools", "capnp", "msgpack"}
