Share the slack of repeats among the daemons that there are

Cause: each daemon might save two repeats for a service, which is the slack of 48 over 24 daemons.

Change: the slack is a setting (the template fills it in), divided by the daemons that are known; randomised rounding keeps the sum where a part is below one. Bounds that a deployment does not give have defaults.

The request at the backend server is an Attempt, as Exchange is the entry's word.

--- a/src/jackdawlanding/decisions/budgets.py
+++ b/src/jackdawlanding/decisions/budgets.py
@@ -10,10 +10,10 @@
 # Of the allowed ratio, what is earned, and what may be saved over a window.
 EARNED_SHARE = 0.8
 SAVED_SHARE = 0.15
-# Tokens that even a daemon without traffic may save: all daemons together stay
-# below the slack, which is about two for each.
-LEAST_CEILING = 2.0
-START_TOKENS = 1.0
+# Of its part of the slack, what a daemon may save without traffic. One that starts
+# anew may have spent its part just before.
+SLACK_SHARE = 0.98
+START_SHARE = 0.5
 # A repeat that helps less often than this isn't worth its load further down.
 LEAST_REPEAT_SUCCESS = 0.4
 PROBE_SHARE = 0.1
@@ -23,21 +23,35 @@
 class WindowBudget:
     """Repeat tokens of one daemon for one service.
 
+    Set ``daemons`` when the number of those that share the slack changes.
+
     :param ratio: repeats that a first try allows.
     :param window: the window's length in seconds.
+    :param slack: repeats that all daemons together may send in a window besides.
+    :param generator: a ``random.Random``, which rounds this daemon's part of the
+        slack up or down, so that the sum over all daemons keeps to it.
     """
 
-    def __init__(self, *, ratio, window):
-        self.tokens = START_TOKENS
+    def __init__(self, *, ratio, window, slack, daemons, generator):
+        self.daemons = daemons
         self._ratio = ratio
         self._window = window
+        self._slack = slack
+        self._rounding = generator.random()
         self._recent = 0.0
         self._at = float("-inf")
+        self.tokens = self.part * START_SHARE
+
+    @property
+    def part(self):
+        """Whole tokens of the slack that are this daemon's."""
+        share = self._slack * SLACK_SHARE / max(1, self.daemons)
+        return math.floor(share + self._rounding)
 
     @property
     def ceiling(self):
         """Most tokens that can be saved up now."""
-        return max(LEAST_CEILING, self._recent * self._ratio * SAVED_SHARE)
+        return max(self.part, self._recent * self._ratio * SAVED_SHARE)
 
     def record_first_try(self, *, now):
         """Earn a part of a token."""
@@ -49,7 +63,7 @@
 
     def charge(self, amount):
         """Pay for repeats that others caused, on credit if need be."""
-        self.tokens = max(-self.ceiling, self.tokens - amount)
+        self.tokens = max(-max(1.0, self.ceiling), self.tokens - amount)
 
     def spend(self):
         """Spend a token on a repeat; return whether there was one."""
--- a/src/jackdawlanding/mesh/backends.py
+++ b/src/jackdawlanding/mesh/backends.py
@@ -36,25 +36,25 @@
 
 
 class _Connection:
-    """One connection; carries one exchange at a time."""
+    """One connection; carries one attempt at a time."""
 
     def __init__(self, *, pool, stream):
         self.pool = pool
         self.stream = stream
         self.idle_since = 0.0
         self.idle_seconds = IDLE_SECONDS
-        self.exchange = None
+        self.attempt = None
         self.reader = http.ResponseReader()
         self.was_opened = False
         stream.on_open = self._note_open
         stream.on_data = self._take
         stream.on_closed = self._note_closed
 
-    def start(self, exchange):
-        self.exchange = exchange
-        if exchange.is_head:
+    def start(self, attempt):
+        self.attempt = attempt
+        if attempt.is_head:
             self.reader = http.ResponseReader(is_head=True)
-        self.stream.write(exchange.data)
+        self.stream.write(attempt.data)
 
     def close(self):
         self.stream.close()
@@ -69,7 +69,7 @@
         except http.ResponseError as failure:
             error = failure
         ready, self.reader.ready = self.reader.ready, []
-        if self.exchange is None:
+        if self.attempt is None:
             # Nothing was asked: the bytes belong to no request.
             self.pool.drop(self)
             return
@@ -82,29 +82,29 @@
 
     def _match(self, ready):
         for response in ready:
-            if response.find(self.exchange.id_header) == self.exchange.request_id:
+            if response.find(self.attempt.id_header) == self.attempt.request_id:
                 return response
             logger.info("backends: a response that belongs to no request is dropped.")
         return None
 
     def _finish(self, response, tainted):
-        exchange, self.exchange = self.exchange, None
-        tainted = tainted or exchange.is_head or self.stream.unsent
+        attempt, self.attempt = self.attempt, None
+        tainted = tainted or attempt.is_head or self.stream.unsent
         if self.reader.is_reusable and not tainted:
             self.idle_seconds = _find_idle_seconds(response)
             self.pool.give_back(self)
         else:
             self.pool.drop(self)
-        exchange.end(Result(response=response, reason="", sent=True))
+        attempt.end(Result(response=response, reason="", sent=True))
 
     def _fail(self, reason):
-        exchange, self.exchange = self.exchange, None
+        attempt, self.attempt = self.attempt, None
         self.pool.drop(self)
-        if exchange is not None:
-            exchange.end(Result(response=None, reason=reason, sent=self.was_opened))
+        if attempt is not None:
+            attempt.end(Result(response=None, reason=reason, sent=self.was_opened))
 
     def _note_closed(self, was_reset):
-        if self.exchange is None:
+        if self.attempt is None:
             self.pool.drop(self)
             return
         if not was_reset:
@@ -116,8 +116,8 @@
         self._fail("died" if self.was_opened else "unreachable")
 
 
-class Exchange:
-    """One request under way; :meth:`cancel` closes its connection.
+class Attempt:
+    """One request at the backend server; :meth:`cancel` closes its connection.
 
     :param data: the bytes of the request.
     :param is_head: whether its method is HEAD.
@@ -141,8 +141,8 @@
     def cancel(self):
         """Close the connection and tell nothing."""
         self._done = None
-        if self.connection and self.connection.exchange is self:
-            self.connection.exchange = None
+        if self.connection and self.connection.attempt is self:
+            self.connection.attempt = None
             self.connection.pool.drop(self.connection)
 
 
@@ -165,17 +165,17 @@
         """How many connections are open."""
         return len(self._open)
 
-    def send(self, exchange, *, needs_fresh):
+    def send(self, attempt, *, needs_fresh):
         """Send a request on an idle connection or a new one.
 
         :param needs_fresh: whether only a recently used one will do.
         """
         connection = self._take_idle(needs_fresh) or self._connect()
-        exchange.connection = connection
-        connection.start(exchange)
+        attempt.connection = connection
+        connection.start(attempt)
 
     def give_back(self, connection):
-        """Keep a connection that has carried its exchange."""
+        """Keep a connection that has carried its attempt."""
         connection.idle_since = time.monotonic()
         self._idle.append(connection)
 
--- /dev/null
+++ b/src/jackdawlanding/mesh/destinations.py
@@ -0,0 +1,50 @@
+"""Where a request goes: its route, its service, and the time that it has."""
+
+from jackdawlanding.decisions import splits
+from jackdawlanding.mesh import answers
+from jackdawlanding.platform import headers
+from jackdawlanding.wire import http
+
+# What is known is too old to tell a caller that a route does not exist: a
+# configuration must be in force within seconds.
+STALE_SECONDS = 3.0
+
+
+class Destinations:
+    """Finds routes in the configuration in force.
+
+    :param knowledge: a ``gossip.Knowledge``.
+    :param generator: a ``random.Random``, for splits.
+    """
+
+    def __init__(self, *, knowledge, generator):
+        self._knowledge = knowledge
+        self._splitter = splits.Splitter(generator=generator)
+
+    def fill(self, exchange):
+        """Fill in where a request goes; return a response where it can't."""
+        knowledge = self._knowledge
+        if not knowledge.is_ready:
+            return answers.make_refusal("the daemon knows no configuration yet")
+        request = exchange.request
+        route = knowledge.table.find(
+            host=request.find_text(b"host"), target=request.target
+        )
+        if route is None:
+            if knowledge.get_age(exchange.started) > STALE_SECONDS:
+                return answers.make_refusal("the configuration may be out of date")
+            return http.make_text(404, "no route matches")
+        exchange.route = route
+        exchange.service = self._splitter.choose(route)
+        left = _parse_millis(request.find(headers.DEADLINE.lower()))
+        limit = min(route.timeout, left) if left is not None else route.timeout
+        exchange.deadline = exchange.started + limit
+        exchange.objective = exchange.started + min(route.objective, limit)
+        return None
+
+
+def _parse_millis(value):
+    try:
+        return max(0.0, float(value) / 1000.0)
+    except ValueError:
+        return None
--- a/src/jackdawlanding/mesh/entry.py
+++ b/src/jackdawlanding/mesh/entry.py
@@ -7,8 +7,8 @@
 import logging
 import time
 
-from jackdawlanding.decisions import budgets, outcomes, selection, splits
-from jackdawlanding.mesh import exchanges, messages
+from jackdawlanding.decisions import outcomes, selection
+from jackdawlanding.mesh import answers, destinations, exchanges, messages, resends
 from jackdawlanding.platform import headers
 from jackdawlanding.wire import http
 
@@ -17,17 +17,11 @@
 # Hosts that one request is offered to, at most: refusals are free, but each takes
 # a round trip, up to 60 ms between regions.
 MAXIMUM_OFFERS = 5
-# What is known is too old to tell a caller that a route does not exist: a
-# configuration must be in force within seconds.
-STALE_SECONDS = 3.0
-# When to come back to a daemon that knows nothing yet, or of no instance; both
-# usually pass within one exchange of news.
-UNREADY_RETRY_SECONDS = 0.5
+# When to come back where no instance is known; it usually passes within one exchange
+# of news.
 NO_INSTANCE_RETRY_SECONDS = 0.3
 # Lowest time worth another offer: less than the shortest work.
 LEAST_LEFT_SECONDS = 0.02
-# One in so many good answers is logged.
-SAMPLE_EVERY = 100
 
 _OWN_HEADERS = frozenset(
     {
@@ -60,39 +54,37 @@
         self._links = links
         self._host = host
         self._local = exchanges.LocalLink(host=host)
-        self._metrics = metrics
-        self._log = log
         self._selector = selection.Selector(
             region=settings.region,
             failure_domain=settings.failure_domain,
             regions=settings.failure_domains,
             generator=generator,
         )
-        self._worth = budgets.RepeatWorth(generator=generator)
-        self._splitter = splits.Splitter(generator=generator)
-        self._budgets = {}
-        self._answered = 0
+        self._destinations = destinations.Destinations(
+            knowledge=knowledge, generator=generator
+        )
+        self._resends = resends.Resends(
+            settings=settings, metrics=metrics, generator=generator
+        )
+        self._records = answers.AnswerLog(
+            knowledge=knowledge, resends=self._resends, metrics=metrics, log=log
+        )
         self._is_leaving = False
         self.in_flight = 0
-        knowledge.subscribe(loop.coalesce(self._forget_gone))
+        knowledge.subscribe(loop.coalesce(self._apply_directory))
 
     def serve(self, request, respond):
         """Answer a request; return its :class:`exchanges.Exchange`."""
         exchange = exchanges.Exchange(entry=self, request=request, respond=respond)
         exchange.parent = self._host.find_parent(exchange.request_id)
         self.in_flight += 1
-        refusal = self._find_route(exchange)
+        refusal = self._refuse_new(exchange) or self._destinations.fill(exchange)
         if refusal is not None:
             self._answer(exchange, refusal, "refused")
             return exchange
         left = exchange.deadline - exchange.started
         exchange.timer = self._loop.call_later(left, lambda: self._expire(exchange))
-        budget = self._get_budget(exchange.service)
-        budget.record_first_try(now=exchange.started)
-        if exchange.parent is not None:
-            # The calls of a run that is itself a repeat are repeats too.
-            exchange.repeat = exchange.parent.call.repeat
-            budget.charge(exchange.repeat)
+        self._resends.begin(exchange)
         self._offer(exchange)
         return exchange
 
@@ -103,10 +95,7 @@
         exchange.respond = None
         self.in_flight -= 1
         self._stop(exchange)
-        self._metrics.count(f"entry_{reason}")
-        self._log.note(
-            "entry", "A caller left.", request=exchange.request_id, reason=reason
-        )
+        self._records.record_gone(exchange, reason)
 
     def leave(self):
         """Refuse new work of callers; what the backend server asks is served."""
@@ -122,26 +111,10 @@
                     now=now, instance=instance, seconds=self._settings.grace
                 )
 
-    def _find_route(self, exchange):
-        """Fill in the route; return a response where there is none."""
-        knowledge = self._knowledge
+    def _refuse_new(self, exchange):
+        """Return the refusal of new work by a daemon that stops, or ``None``."""
         if self._is_leaving and exchange.parent is None:
-            return make_refusal("the daemon stops")
-        if not knowledge.is_ready:
-            return make_refusal("the daemon knows no configuration yet")
-        request = exchange.request
-        host = request.find(b"host").decode("latin-1")
-        route = knowledge.table.find(host=host, target=request.target)
-        if route is None:
-            if knowledge.get_age(exchange.started) > STALE_SECONDS:
-                return make_refusal("the configuration may be out of date")
-            return http.make_text(404, "no route matches")
-        exchange.route = route
-        exchange.service = self._splitter.choose(route)
-        left = _parse_millis(request.find(headers.DEADLINE.lower()))
-        limit = min(route.timeout, left) if left is not None else route.timeout
-        exchange.deadline = exchange.started + limit
-        exchange.objective = exchange.started + min(route.objective, limit)
+            return answers.make_refusal("the daemon stops")
         return None
 
     def _offer(self, exchange):
@@ -228,7 +201,7 @@
             body=reply.body,
         )
         if exchange.may_have_run:
-            self._worth.record(exchange.route.name, is_success=reply.status < 500)
+            self._resends.record_end(exchange, is_success=reply.status < 500)
         exchange.may_have_run = True
         if reply.status >= 500:
             self._selector.record_failure(now=now, instance=instance)
@@ -276,31 +249,16 @@
 
     def _may_repeat(self, exchange):
         """Return whether a request that may have run is sent again."""
-        if not exchange.route.is_safe or not self._worth.is_worth(exchange.route.name):
-            return False
-        return self._may_send_again(exchange)
+        return self._resends.is_allowed(exchange) and self._may_send_again(exchange)
 
     def _may_send_again(self, exchange):
         """Return whether another backend server may be reached."""
-        if exchange.arrivals >= exchange.route.attempts:
-            return False
         if self._choose(exchange, time.monotonic()) is None:
             return False
-        if self._get_budget(exchange.service).spend():
-            return True
-        self._metrics.count("entry_budget_spent")
-        return False
+        return self._resends.spend(exchange)
 
     def _repeat(self, exchange, reason):
-        self._metrics.count("entry_repeated")
-        self._log.note(
-            "entry",
-            "A request is sent again.",
-            request=exchange.request_id,
-            route=exchange.route.name,
-            instance=exchange.backend.instance,
-            reason=reason,
-        )
+        self._records.record_repeat(exchange, reason)
         self._offer(exchange)
 
     def _expire(self, exchange):
@@ -326,7 +284,7 @@
         elif exchange.may_have_run:
             response = http.make_text(502, "the backend server's answer was lost")
         else:
-            response = make_refusal(
+            response = answers.make_refusal(
                 "no backend server takes the request now",
                 seconds=exchange.retry_after or NO_INSTANCE_RETRY_SECONDS,
             )
@@ -345,39 +303,9 @@
         self.in_flight -= 1
         if exchange.timer is not None:
             exchange.timer.cancel()
-        self._record(exchange, response, reason)
+        self._records.record(exchange, response, reason)
         respond(response)
 
-    def _record(self, exchange, response, reason):
-        seconds = time.monotonic() - exchange.started
-        route = exchange.route
-        self._metrics.count(f"entry_{reason}")
-        if route is not None and not exchange.is_inner:
-            self._metrics.record_latency(route.rank, seconds)
-        self._answered += 1
-        is_good = reason == "answered" and response.status < 500
-        if is_good and self._answered % SAMPLE_EVERY:
-            return
-        self._log.note(
-            "entry",
-            "A request was answered.",
-            request=exchange.request_id,
-            route=route.name if route else "",
-            service=exchange.service,
-            inner=exchange.is_inner,
-            instance=exchange.backend.instance if exchange.backend else "",
-            domain=exchange.backend.failure_domain if exchange.backend else "",
-            status=response.status,
-            reason=reason,
-            offers=exchange.offers,
-            arrivals=exchange.arrivals,
-            seconds=round(seconds, 4),
-            version=self._knowledge.version,
-            age=round(self._knowledge.get_age(time.monotonic()), 2),
-            tokens=round(self._get_budget(exchange.service).tokens, 1),
-            repeat=round(exchange.repeat, 2),
-        )
-
     def _stop(self, exchange):
         """Cancel the attempt under way; return whether it never runs."""
         if exchange.timer is not None:
@@ -390,16 +318,10 @@
         )
         return exchange.link.cancel(number)
 
-    def _get_budget(self, service):
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = budgets.WindowBudget(
-                ratio=self._settings.retry_ratio, window=self._settings.retry_window
-            )
-        return budget
-
-    def _forget_gone(self):
-        self._selector.keep(self._knowledge.directory.list_instances())
+    def _apply_directory(self):
+        directory = self._knowledge.directory
+        self._selector.keep(directory.list_instances())
+        self._resends.set_daemons(len(directory))
 
 
 _LOST_REASONS = frozenset(
@@ -410,16 +332,3 @@
     outcomes.Outcome.NOT_RUN: Entry._take_refusal,
     outcomes.Outcome.UNKNOWN: Entry._take_loss,
 }
-
-
-def make_refusal(text, *, seconds=UNREADY_RETRY_SECONDS):
-    """Return a response that tells that the request has not run."""
-    retry_after = (headers.RETRY_AFTER, b"%.2f" % seconds)
-    return http.make_text(503, text, headers=(retry_after,))
-
-
-def _parse_millis(value):
-    try:
-        return max(0.0, float(value) / 1000.0)
-    except ValueError:
-        return None
--- a/src/jackdawlanding/mesh/hosts.py
+++ b/src/jackdawlanding/mesh/hosts.py
@@ -31,7 +31,7 @@
 
     __slots__ = (
         "call",
-        "exchange",
+        "attempt",
         "fingerprint",
         "is_ended",
         "is_starved",
@@ -43,7 +43,7 @@
         self.call = call
         self.respond = respond
         self.job = None
-        self.exchange = None
+        self.attempt = None
         self.fingerprint = None
         self.is_ended = False
         # Whether a call of this run was turned away for want of capacity.
@@ -129,9 +129,9 @@
         if handle.is_ended:
             return False
         handle.is_ended = True
-        if handle.exchange is None:
+        if handle.attempt is None:
             return self.gate.withdraw(handle.job)
-        handle.exchange.cancel()
+        handle.attempt.cancel()
         self._release(handle, is_good=False)
         self._admit_next()
         return False
@@ -199,7 +199,7 @@
             (headers.CALLER, call.caller.encode("latin-1")),
             (headers.EXPECTED_INSTANCE, call.instance.encode("latin-1")),
         ]
-        handle.exchange = backends.Exchange(
+        handle.attempt = backends.Attempt(
             data=http.format_request(
                 method=call.method,
                 target=call.target,
@@ -214,7 +214,7 @@
         )
         self._running[call.request_id] = handle
         self.paces.get(call.route).begin()
-        self._pool.send(handle.exchange, needs_fresh=not call.is_safe)
+        self._pool.send(handle.attempt, needs_fresh=not call.is_safe)
 
     def _finish(self, handle, result):
         now = time.monotonic()
--- a/src/jackdawlanding/settings/mesh.py
+++ b/src/jackdawlanding/settings/mesh.py
@@ -13,7 +13,10 @@
     """One mesh daemon's settings; durations are seconds.
 
     ``host`` is this instance's IP number; peers listen on ``peer_port`` of
-    theirs. ``failure_domains`` maps each failure domain to its region.
+    theirs. ``failure_domains`` maps each failure domain to its region. Repeats
+    that reach a service are bounded, over all daemons and any window, to
+    ``retry_ratio`` of its requests and ``retry_slack`` besides. The defaults are
+    the platform's usual bounds, without slack.
     """
 
     instance: str
@@ -28,9 +31,10 @@
     peer_port: int
     metrics_port: int
     store_address: addresses.Address
-    grace: float
-    retry_ratio: float
-    retry_window: float
+    grace: float = 6.0
+    retry_ratio: float = 0.2
+    retry_window: float = 10.0
+    retry_slack: float = 0.0
 
     def is_far(self, failure_domain):
         """Return whether a failure domain is known to be in another region."""
@@ -63,13 +67,20 @@
 
 
 def make(document):
-    """Return checked settings from a JSON object; unknown keys are ignored."""
+    """Return checked settings from a JSON object.
+
+    Unknown keys are ignored; a key that is ``null`` counts as missing.
+    """
     values = {}
     for key, value in document.items():
         field, scale = _UNITS.get(key, (key, None))
-        if field in MeshSettings._fields:
+        if field in MeshSettings._fields and value is not None:
             values[field] = _convert(key, field, value, scale)
-    missing = [name for name in MeshSettings._fields if name not in values]
+    missing = [
+        name
+        for name in MeshSettings._fields
+        if name not in values and name not in MeshSettings._field_defaults
+    ]
     if missing:
         raise exceptions.SettingError(
             flag=missing[0],
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -51,6 +51,7 @@
             "grace_seconds": 4,
             "retry_ratio": 0.2,
             "retry_window_seconds": 10,
+            "retry_slack": 48,
         }
         self.daemon = app.MeshDaemon(settings=settings_files.make(document))
         self._thread = threading.Thread(
--- a/tests/test_mesh_settings.py
+++ b/tests/test_mesh_settings.py
@@ -22,6 +22,7 @@
     "grace_seconds": 6,
     "retry_ratio": 0.2,
     "retry_window_seconds": 10,
+    "retry_slack": 49,
 }
 
 
@@ -49,6 +50,16 @@
                     mesh.make({**GOOD, key: value})
                 self.assertIn(key, str(caught.exception))
 
+    def test_bounds_that_are_not_given_have_defaults(self):
+        found = mesh.make({**GOOD, "grace_seconds": None, "retry_slack": None})
+        self.assertEqual((found.grace, found.retry_slack), (6.0, 0.0))
+
+    def test_a_domain_of_another_region_is_far(self):
+        found = mesh.make({**GOOD, "failure_domains": {"a1": "a", "b1": "b"}})
+        self.assertTrue(found.is_far("b1"))
+        self.assertFalse(found.is_far("a1"))
+        self.assertFalse(found.is_far("unheard-of"))
+
     def test_a_missing_key_and_a_missing_file(self):
         with self.assertRaises(exceptions.SettingError) as caught:
             mesh.make({key: GOOD[key] for key in GOOD if key != "service"})
