--- a/src/jackdawlanding/daemon/admin.py
+++ b/src/jackdawlanding/daemon/admin.py
@@ -122,8 +122,8 @@
             "Latency of calls by rank and quantile.",
             labels=("rank", "quantile"),
         )
-        for rank, quantile, seconds in metrics.list_latencies():
-            latencies.add_metric((str(rank), str(quantile)), seconds)
+        for one in metrics.list_latencies():
+            latencies.add_metric((str(one.rank), str(one.percent)), one.seconds)
         yield latencies
         gate = self._context.admission.gate
         for name, text, value in (
--- a/src/jackdawlanding/daemon/metrics.py
+++ b/src/jackdawlanding/daemon/metrics.py
@@ -2,22 +2,16 @@
 
 import threading
 
-from hdrh import histogram
-
-LOWEST_MICROS = 10
-HIGHEST_MICROS = 60_000_000
-DIGITS = 2
-QUANTILES = (50.0, 90.0, 99.0, 99.9)
-MICROS = 1_000_000
+from jackdawlanding import latencies
 
 
 class Metrics:
-    """Counters and latency histograms of one daemon."""
+    """Counters and latency histograms of one daemon, for many threads."""
 
     def __init__(self):
         self._lock = threading.Lock()
         self._counts = {}
-        self._latencies = {}
+        self._latencies = latencies.Latencies()
         self._events = {}
 
     def record_call(self, *, rank, outcome, reason, seconds):
@@ -25,11 +19,7 @@
         key = (rank, outcome, reason)
         with self._lock:
             self._counts[key] = self._counts.get(key, 0) + 1
-            if rank not in self._latencies:
-                self._latencies[rank] = histogram.HdrHistogram(
-                    LOWEST_MICROS, HIGHEST_MICROS, DIGITS
-                )
-            self._latencies[rank].record_value(int(seconds * MICROS))
+            self._latencies.record(rank, seconds)
 
     def count(self, name, amount=1):
         """Add to a named event counter."""
@@ -47,10 +37,6 @@
             return sorted(self._events.items())
 
     def list_latencies(self):
-        """Return ``(rank, quantile, seconds)`` triples."""
+        """Return a ``latencies.Quantile`` for each rank and quantile."""
         with self._lock:
-            return [
-                (rank, quantile, one.get_value_at_percentile(quantile) / MICROS)
-                for rank, one in sorted(self._latencies.items())
-                for quantile in QUANTILES
-            ]
+            return self._latencies.list_quantiles()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -11,10 +11,10 @@
     "decisions": {"decisions"},
     "settings": {"settings", "decisions", "exceptions"},
     "wire": {"wire"},
-    "daemon": {"daemon", "wire", "settings", "decisions"},
+    "daemon": {"daemon", "wire", "settings", "decisions", "latencies"},
     "emulator": {"emulator", "settings"},
     "platform": {"platform", "decisions"},
-    "mesh": {"mesh", "platform", "settings", "decisions", "wire"},
+    "mesh": {"mesh", "platform", "settings", "decisions", "wire", "latencies"},
     "cli": {"cli", "daemon", "mesh", "settings", "exceptions"},
 }
 OUTSIDE = {"socket", "select", "time", "pycurl", "httptools", "capnp", "msgpack"}
