Measure the latency that mesh daemons add

python -m bench mesh-latency: direct, through one daemon and through two, as processes beside a stand-in of the store.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,6 +11,7 @@
     capacity as capacities,
     deployments,
     latency as latencies,
+    mesh as meshes,
     overload,
     slopes as slopes_bench,
 )
@@ -103,6 +104,24 @@
     _write(output, [row._asdict() for row in rows])
 
 
+@application.command()
+def mesh_latency(
+    seconds: typing.Annotated[float, typer.Option(help="For each path.")] = 15,
+    rate: typing.Annotated[
+        list[float] | None, typer.Option(help="Calls a second; repeatable.")
+    ] = None,
+    output: Output = None,
+):
+    """Measure the latency that one and two mesh daemons add."""
+    with meshes.Fleet() as fleet:
+        rows = latencies.measure(
+            fleet.list_paths(), rates=rate or [55, 550], seconds=seconds, progress=_tell
+        )
+    print(file=sys.stderr)
+    print("\n".join(latencies.format_table(rows)))
+    _write(output, [row._asdict() for row in rows])
+
+
 @application.command()
 def slopes(output: Output = None):
     """Measure how a daemon's costs grow; takes about two minutes."""
--- a/bench/latency.py
+++ b/bench/latency.py
@@ -4,6 +4,7 @@
 for coordinated omission.
 """
 
+import http.client
 import socket
 import sys
 import time
@@ -32,11 +33,17 @@
 
 
 class Path(typing.NamedTuple):
-    """One way to a backend server: the port to call and the host to name."""
+    """One way to a backend server: the address to call, and what to ask there.
+
+    ``host`` is the name in the request, ``headers`` are whole lines.
+    """
 
     name: str
     port: int
-    host: str
+    address: str = "127.0.0.1"
+    host: str = "back"
+    target: str = "/x"
+    headers: str = ""
 
 
 class Latency(typing.NamedTuple):
@@ -69,26 +76,41 @@
 
 
 def run(*, rates, seconds, progress=None):
-    """Measure all paths at all rates; return :class:`Latency` rows."""
-    rows = []
+    """Measure the product's own daemons; return :class:`Latency` rows."""
     with start_fleet() as running:
         front, back = running.list_nodes("front")[0], running.list_nodes("back")[0]
         paths = (
-            Path("direct", back.ports["backend"], "back"),
-            Path("one daemon", back.caller_port, "back"),
-            Path("two daemons", front.ports["local"], "back"),
+            Path("direct", back.ports["backend"]),
+            Path("one daemon", back.caller_port),
+            Path("two daemons", front.ports["local"]),
         )
-        for rate in rates:
-            recorders = {path: _make_recorder() for path in paths}
-            for number in range(ROUNDS):
-                for path in paths:
-                    if progress:
-                        progress(f"{path.name} at {rate:g}/s", number, ROUNDS)
-                    _measure(path, rate, seconds / ROUNDS, recorders[path])
-            rows += [_summarize(path, rate, recorders[path]) for path in paths]
+        return measure(paths, rates=rates, seconds=seconds, progress=progress)
+
+
+def measure(paths, *, rates, seconds, progress=None):
+    """Measure all paths at all rates; return :class:`Latency` rows."""
+    rows = []
+    for rate in rates:
+        recorders = {path: make_recorder() for path in paths}
+        for number in range(ROUNDS):
+            for path in paths:
+                if progress:
+                    progress(f"{path.name} at {rate:g}/s", number, ROUNDS)
+                load(path, rate, seconds / ROUNDS, recorders[path])
+        rows += [_summarize(path, rate, recorders[path]) for path in paths]
     return rows
 
 
+def ask(address, port, target):
+    """Return the status of one GET request."""
+    connection = http.client.HTTPConnection(address, port, timeout=2)
+    try:
+        connection.request("GET", target)
+        return connection.getresponse().status
+    finally:
+        connection.close()
+
+
 def find_added(rows):
     """Return ``(path, rate, added p50, added p99)`` over the direct path."""
     direct = {row.rate: row for row in rows if row.path == "direct"}
@@ -104,14 +126,18 @@
     ]
 
 
-def _make_recorder():
+def make_recorder():
+    """Return an empty histogram of microseconds."""
     return histogram.HdrHistogram(1, 10 * MICROS, 3)
 
 
-def _measure(path, rate, seconds, recorder):
-    request = f"GET /x HTTP/1.1\r\nHost: {path.host}\r\n\r\n".encode()
+def load(path, rate, seconds, recorder):
+    """Call over one path at a constant rate, and record what each call took."""
+    request = (
+        f"GET {path.target} HTTP/1.1\r\nHost: {path.host}\r\n{path.headers}\r\n"
+    ).encode()
     interval = 1 / rate
-    with socket.create_connection(("127.0.0.1", path.port)) as sock:
+    with socket.create_connection((path.address, path.port)) as sock:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         for _ in range(20):
             _exchange(sock, request)
--- /dev/null
+++ b/bench/mesh.py
@@ -0,0 +1,118 @@
+"""A front and a back service with mesh daemons, as processes, to measure latency."""
+
+import contextlib
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+
+from bench import latency
+from jackdawlanding.settings import mesh as settings_files
+from tests import configurations, meshes, stores
+
+SERVICES = ("front", "back")
+DAEMON = "from jackdawlanding.mesh import app; app.main()"
+READY_PATH = "/jackdawlanding/readiness"
+START_SECONDS = 10.0
+STOP_SECONDS = 10.0
+# The smallest head that the mesh routes and a backend server answers.
+HEADERS = "X-Request-Id: latency\r\nX-Deadline-Ms: 5000\r\n"
+
+
+class Fleet(contextlib.ExitStack):
+    """A store in this process; a backend server and a daemon for each service."""
+
+    def __init__(self):
+        super().__init__()
+        self.store = stores.Store()
+        self.callback(self.store.stop)
+        self.directory = pathlib.Path(self.enter_context(tempfile.TemporaryDirectory()))
+        self.peer_port = meshes.find_port()
+        self.backends = {}
+        self.daemons = {}
+        route = configurations.make_route("back", service="back")
+        self.store.put("op/config", configurations.make(1, route, services=SERVICES))
+        for number, service in enumerate(SERVICES):
+            self._start(service, f"127.0.1.{number + 1}")
+        for host, ports in self.daemons.values():
+            self._wait_ready(host, ports["readiness"])
+
+    def list_paths(self):
+        """Return the paths: none, one and two daemons on the way."""
+        front, back = self.daemons["front"], self.daemons["back"]
+        place = {"host": "back.example", "target": "/back/x", "headers": HEADERS}
+        return (
+            latency.Path("direct", *self.backends["back"][::-1], **place),
+            latency.Path("one daemon", back[1]["outbound"], back[0], **place),
+            latency.Path("two daemons", front[1]["outbound"], front[0], **place),
+        )
+
+    def _start(self, service, host):
+        backend = (host, meshes.find_port(host))
+        self.backends[service] = backend
+        self._run("-m", "bench.signed_echo", host, str(backend[1]))
+        names = ("outbound", "readiness", "metrics")
+        ports = {name: meshes.find_port(host) for name in names}
+        self.daemons[service] = (host, ports)
+        path = self.directory / f"{service}.json"
+        path.write_text(json.dumps(self._make_settings(service, host, ports)))
+        self._run("-OO", "-c", DAEMON, **{settings_files.FILE_VARIABLE: str(path)})
+        self.store.put(f"servers/i-{service}", self._make_entry(service, backend))
+
+    def _make_settings(self, service, host, ports):
+        return {
+            "instance": service,
+            "service": service,
+            "host": host,
+            "region": "a",
+            "failure_domain": "a1",
+            "failure_domains": {"a1": "a"},
+            "backend_address": "{}:{}".format(*self.backends[service]),
+            "outbound_address": f"{host}:{ports['outbound']}",
+            "readiness_address": f"{host}:{ports['readiness']}",
+            "peer_port": self.peer_port,
+            "metrics_port": ports["metrics"],
+            "store_address": self.store.address,
+        }
+
+    def _make_entry(self, service, backend):
+        return {
+            "service": service,
+            "address": "{}:{}".format(*backend),
+            "zone": "a1",
+            "version": "v1",
+            "maxConcurrency": 64,
+            "state": "ready",
+            "warmupRemainingMs": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+
+    def _run(self, *arguments, **environment):
+        process = subprocess.Popen(
+            [sys.executable, *arguments],
+            env={**os.environ, **environment},
+            stdout=subprocess.DEVNULL,
+        )
+        self.callback(_end, process)
+
+    def _wait_ready(self, host, port):
+        end = time.monotonic() + START_SECONDS
+        while time.monotonic() < end:
+            with contextlib.suppress(OSError):
+                if latency.ask(host, port, READY_PATH) == 200:
+                    return
+            time.sleep(0.05)
+        raise TimeoutError(f"the daemon on {host} is not ready")
+
+
+def _end(process):
+    process.terminate()
+    try:
+        process.wait(STOP_SECONDS)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -154,11 +154,11 @@
 def _measure_load(running, node, rate):
     if not rate:
         return _measure_window(running, node)
-    path = latency.Path("load", node.caller_port, "back")
+    path = latency.Path("load", node.caller_port)
     seconds = WINDOW_SECONDS + 2
     thread = threading.Thread(
-        target=latency._measure,
-        args=(path, rate, seconds, latency._make_recorder()),
+        target=latency.load,
+        args=(path, rate, seconds, latency.make_recorder()),
     )
     thread.start()
     time.sleep(1)
