--- a/src/jackdawlanding/mesh/traces.py
+++ b/src/jackdawlanding/mesh/traces.py
@@ -62,14 +62,20 @@
 
 
 def format_lines(lines):
-    """Return each line as text, with milliseconds since the first."""
+    """Return each line as text, with milliseconds since the first.
+
+    Lines about calls are set in by two columns for each level below the request,
+    and name the call by the last part of its id.
+    """
     if not lines:
         return []
     began = lines[0].at
     width = max(len(one.daemon) for one in lines)
+    root = min((one.request.count(".") for one in lines if one.request), default=0)
     return [
         f"{(one.at - began) * 1000:9.1f} ms  {one.daemon:{width}}  "
-        f"{one.part}: {one.text}{_format_fields(one.fields)}"
+        f"{_format_call(one.request, root)}{one.part}: {one.text}"
+        f"{_format_fields(one.fields)}"
         for one in lines
     ]
 
@@ -79,6 +85,13 @@
     return name == request or name.startswith(f"{request}.")
 
 
+def _format_call(request, root):
+    depth = request.count(".") - root
+    if depth <= 0:
+        return ""
+    return f"{'  ' * depth}{request.rpartition('.')[2]} "
+
+
 def _format_fields(fields):
     if not fields:
         return ""
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -40,7 +40,8 @@
 
     def test_text_has_times_from_the_first_line(self):
         lines = traces.format_lines(traces.find(LINES, "r1"))
-        self.assertIn("200.0 ms  b  entry: A call ended.  reason=full", lines[1])
+        self.assertIn("0.0 ms  a  entry: A request is sent again.", lines[0])
+        self.assertIn("200.0 ms  b    c1 entry: A call ended.  reason=full", lines[1])
 
     def test_the_tool_reads_files(self):
         with tempfile.TemporaryDirectory() as directory:
