--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
     deployments,
     latency as latencies,
     mesh as meshes,
+    mesh_flood as floods,
     overload,
     slopes as slopes_bench,
 )
@@ -122,6 +123,20 @@
     _write(output, [row._asdict() for row in rows])
 
 
+@application.command()
+def mesh_flood(
+    load: typing.Annotated[
+        float, typer.Option(help="Peak load, a multiple of the capacity.")
+    ] = 10.0,
+    output: Output = None,
+):
+    """Flood a mesh with the least urgent work, from a load of one capacity."""
+    result = floods.run(load=load, progress=_tell)
+    print(file=sys.stderr)
+    print("\n".join(floods.format_result(result)))
+    _write(output, result._asdict())
+
+
 @application.command()
 def slopes(output: Output = None):
     """Measure how a daemon's costs grow; takes about two minutes."""
--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -1,4 +1,4 @@
-"""A front and a back service with mesh daemons, as processes, to measure latency."""
+"""A front and a back service with mesh daemons, as processes, to be measured."""
 
 import contextlib
 import json
@@ -14,6 +14,8 @@
 from tests import configurations, meshes, stores
 
 SERVICES = ("front", "back")
+# Routes to the back service, by name, with their ranks.
+RANKS = {"back": 1, "orders": 0, "browsing": 3}
 DAEMON = "from jackdawlanding.mesh import app; app.main()"
 READY_PATH = "/jackdawlanding/readiness"
 START_SECONDS = 10.0
@@ -23,23 +25,38 @@
 
 
 class Fleet(contextlib.ExitStack):
-    """A store in this process; a backend server and a daemon for each service."""
+    """A store in this process; a backend server and a daemon for each service.
 
-    def __init__(self):
+    :param slots: requests that a backend server runs at once.
+    :param service_seconds: time that one takes; 0 for one that answers at once.
+    """
+
+    def __init__(self, *, slots=64, service_seconds=0.0):
         super().__init__()
+        self._slots = slots
+        self._service_seconds = service_seconds
         self.store = stores.Store()
         self.callback(self.store.stop)
         self.directory = pathlib.Path(self.enter_context(tempfile.TemporaryDirectory()))
         self.peer_port = meshes.find_port()
         self.backends = {}
         self.daemons = {}
-        route = configurations.make_route("back", service="back")
-        self.store.put("op/config", configurations.make(1, route, services=SERVICES))
+        routes = [
+            configurations.make_route(name, service="back", priority=rank, timeout=2000)
+            for name, rank in RANKS.items()
+        ]
+        self.store.put("op/config", configurations.make(1, *routes, services=SERVICES))
         for number, service in enumerate(SERVICES):
             self._start(service, f"127.0.1.{number + 1}")
         for host, ports in self.daemons.values():
             self._wait_ready(host, ports["readiness"])
 
+    @property
+    def entry(self):
+        """The address for callers of the front instance, host and port."""
+        host, ports = self.daemons["front"]
+        return host, ports["outbound"]
+
     def list_paths(self):
         """Return the paths: none, one and two daemons on the way."""
         front, back = self.daemons["front"], self.daemons["back"]
@@ -53,7 +70,7 @@
     def _start(self, service, host):
         backend = (host, meshes.find_port(host))
         self.backends[service] = backend
-        self._run("-m", "bench.signed_echo", host, str(backend[1]))
+        self._run("-m", *self._make_backend(host, str(backend[1])))
         names = ("outbound", "readiness", "metrics")
         ports = {name: meshes.find_port(host) for name in names}
         self.daemons[service] = (host, ports)
@@ -62,6 +79,12 @@
         self._run("-OO", "-c", DAEMON, **{settings_files.FILE_VARIABLE: str(path)})
         self.store.put(f"servers/i-{service}", self._make_entry(service, backend))
 
+    def _make_backend(self, host, port):
+        if not self._service_seconds:
+            return "bench.signed_echo", host, port
+        shape = (str(self._slots), str(self._service_seconds))
+        return "bench.signed_backend", host, port, *shape
+
     def _make_settings(self, service, host, ports):
         return {
             "instance": service,
@@ -84,7 +107,7 @@
             "address": "{}:{}".format(*backend),
             "zone": "a1",
             "version": "v1",
-            "maxConcurrency": 64,
+            "maxConcurrency": self._slots,
             "state": "ready",
             "warmupRemainingMs": 0,
             "sequence": 1,
@@ -109,6 +132,16 @@
         raise TimeoutError(f"the daemon on {host} is not ready")
 
 
+def make_headers(target, nonce, attempt):
+    """Return the header lines of a caller's attempt at a target."""
+    return [
+        f"Host: {target.split('/')[1]}.example",
+        f"X-Request-Id: {nonce}-{attempt}",
+        "X-Deadline-Ms: 2000",
+        f"X-Nonce: {nonce}",
+    ]
+
+
 def _end(process):
     process.terminate()
     try:
--- /dev/null
+++ b/bench/signed_backend.py
@@ -0,0 +1,49 @@
+"""A backend server of the mesh with slots and a service time; run as a process."""
+
+import http.server
+import json
+import sys
+import threading
+import time
+
+REQUEST_ID = "X-Request-Id"
+
+
+class Server(http.server.ThreadingHTTPServer):
+    """Runs so many requests at once, each for so many seconds."""
+
+    daemon_threads = True
+    request_queue_size = 512
+
+    def __init__(self, address, *, slots, seconds):
+        super().__init__(address, Handler)
+        self.slots = threading.Semaphore(slots)
+        self.seconds = seconds
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Answers with the caller's nonce, signed, once the service time is over."""
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    wbufsize = -1
+
+    def do_GET(self):
+        """Run a request without a body."""
+        with self.server.slots:
+            time.sleep(self.server.seconds)
+        body = json.dumps({"nonce": self.headers.get("X-Nonce", "")}).encode()
+        self.send_response_only(200)
+        self.send_header(REQUEST_ID, self.headers.get(REQUEST_ID, ""))
+        self.send_header("X-Server-Signature", "bench")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, format, *arguments):
+        """Log nothing."""
+
+
+if __name__ == "__main__":
+    host, port, slots, seconds = sys.argv[1:]
+    Server((host, int(port)), slots=int(slots), seconds=float(seconds)).serve_forever()
--- a/src/jackdawlanding/emulator/caller.py
+++ b/src/jackdawlanding/emulator/caller.py
@@ -19,6 +19,11 @@
 OK_STATUS = 200
 
 
+def make_headers(target, nonce, attempt):
+    """Return the header lines of an attempt at the product's own interface."""
+    return [f"X-Nonce: {nonce}"]
+
+
 class Kind(typing.NamedTuple):
     """One kind of work as callers send it.
 
@@ -30,6 +35,8 @@
     :param has_key: whether requests carry an idempotency key.
     :param callers: how many identities share the kind.
     :param threads: most requests of the kind in flight.
+    :param address: IP number of the entry daemons.
+    :param make_headers: returns the header lines for target, nonce and attempt.
     """
 
     name: str
@@ -44,6 +51,8 @@
     has_key: bool = False
     callers: int = 8
     threads: int = 64
+    address: str = "127.0.0.1"
+    make_headers: typing.Callable = make_headers
 
 
 class Tally:
@@ -156,7 +165,8 @@
                 time.sleep(kind.pause)
             port = kind.ports[(arrival.number + attempts) % len(kind.ports)]
             attempts += 1
-            is_whole, reason = self._send(curl, arrival, port, nonce, end)
+            headers = kind.make_headers(kind.target, nonce, attempts)
+            is_whole, reason = self._send(curl, arrival, port, nonce, headers, end)
             if is_whole:
                 break
         self._note(tally, arrival, nonce, attempts, is_whole, reason, due)
@@ -179,14 +189,14 @@
             if reason == "wrong":
                 tally.wrong += 1
 
-    def _send(self, curl, arrival, port, nonce, end):
+    def _send(self, curl, arrival, port, nonce, headers, end):
         """Send once; return whether the answer is whole and right, and why not."""
         kind = arrival.kind
         buffer = io.BytesIO()
-        headers = [f"X-Nonce: {nonce}", f"X-Caller: c{arrival.number % kind.callers}"]
+        headers = [*headers, f"X-Caller: c{arrival.number % kind.callers}"]
         if kind.has_key:
             headers.append(f"Idempotency-Key: {nonce}")
-        curl.setopt(pycurl.URL, f"http://127.0.0.1:{port}{kind.target}")
+        curl.setopt(pycurl.URL, f"http://{kind.address}:{port}{kind.target}")
         curl.setopt(pycurl.HTTPHEADER, headers)
         curl.setopt(pycurl.WRITEDATA, buffer)
         left = max(1, int((end - time.monotonic()) * 1000))
@@ -206,7 +216,7 @@
     try:
         document = json.loads(body)
     except ValueError:
-        return False, "cut"
+        return False, "cut" if status == OK_STATUS else str(status)
     if status != OK_STATUS:
         kind = document.get("type", "") if isinstance(document, dict) else ""
         return False, kind.rpartition(":")[2] or str(status)
