Remove two fields of the peers' messages that decided nothing

Cause: work and retried were carried by calls and answers since the start; nothing set retried, nothing read work.

--- a/src/jackdawlanding/daemon/dispatch.py
+++ b/src/jackdawlanding/daemon/dispatch.py
@@ -162,7 +162,7 @@
             )
 
     def _may_try_again(self, call, answer):
-        if answer.retried or call.left <= 0:
+        if call.left <= 0:
             return False
         if answer.reason in FREE_REASONS:
             return True
@@ -197,7 +197,6 @@
         role=role,
         owner=pair[0],
         witness=pair[1] or "",
-        work=call.work.name,
         rank=call.rank,
         protected=call.protected,
     )
@@ -215,7 +214,6 @@
         response=response,
         outcome=outcomes.Outcome(message.outcome),
         reason=message.reason,
-        retried=message.retried,
         vouched=message.vouched,
     )
 
--- a/src/jackdawlanding/daemon/doors.py
+++ b/src/jackdawlanding/daemon/doors.py
@@ -97,7 +97,6 @@
             in_flight=gate.in_flight + gate.queued,
             limit=gate.limit.limit,
             draining=self._context.leaving.is_set(),
-            retried=answer.retried,
             vouched=answer.vouched,
         )
         return reply, answer.response.body
--- a/src/jackdawlanding/daemon/messages.py
+++ b/src/jackdawlanding/daemon/messages.py
@@ -21,7 +21,6 @@
 class Answer(typing.NamedTuple):
     """What became of a call: a response, its outcome and, if refused, why.
 
-    ``retried`` says that the hop next to a failure has had its retries.
     ``vouched`` says that the pair of a once-only key gave the outcome, which
     then holds for the key and not for this attempt alone.
     """
@@ -29,7 +28,6 @@
     response: http.Response
     outcome: outcomes.Outcome
     reason: str = ""
-    retried: bool = False
     vouched: bool = False
 
     @property
--- a/src/jackdawlanding/wire/codec.py
+++ b/src/jackdawlanding/wire/codec.py
@@ -35,8 +35,6 @@
     role: int = 0
     owner: str = ""
     witness: str = ""
-    work: str = ""
-    retried: bool = False
     rank: int = 7
     protected: bool = False
 
@@ -54,7 +52,6 @@
     in_flight: int = 0
     limit: int = 0
     draining: bool = False
-    retried: bool = False
     vouched: bool = False
 
 
@@ -134,8 +131,6 @@
     message.role = int(call.role)
     message.owner = call.owner
     message.witness = call.witness
-    message.work = call.work
-    message.retried = call.retried
     message.rank = call.rank
     message.protected = call.protected
     return message.to_bytes()
@@ -154,7 +149,6 @@
     message.inFlight = min(answer.in_flight, 65535)
     message.limit = min(answer.limit, 65535)
     message.draining = answer.draining
-    message.retried = answer.retried
     message.vouched = answer.vouched
     return message.to_bytes()
 
@@ -253,8 +247,6 @@
         role=reader.role,
         owner=reader.owner,
         witness=reader.witness,
-        work=reader.work,
-        retried=reader.retried,
         rank=reader.rank,
         protected=reader.protected,
     )
@@ -272,7 +264,6 @@
         in_flight=reader.inFlight,
         limit=reader.limit,
         draining=reader.draining,
-        retried=reader.retried,
         vouched=reader.vouched,
     )
 
--- a/src/jackdawlanding/wire/peer.capnp
+++ b/src/jackdawlanding/wire/peer.capnp
@@ -15,8 +15,8 @@
   role @9 :UInt8;            # 0 serve, 1 witness, 2 own
   owner @10 :Text;
   witness @11 :Text;
-  work @12 :Text;
-  retried @13 :Bool;
+  obsoleteWork @12 :Text;
+  obsoleteRetried @13 :Bool;
   rank @14 :UInt8;           # rank of the whole tree
   protected @15 :Bool;
 }
@@ -32,7 +32,7 @@
   inFlight @7 :UInt16;
   limit @8 :UInt16;
   draining @9 :Bool;
-  retried @10 :Bool;
+  obsoleteRetried @10 :Bool;
   vouched @11 :Bool;         # the pair of a once-only key gave this outcome
 }
 
