Measure the slopes of a mesh daemon's control work

python -m bench mesh-slopes: memory, time of a change, of a check and of a choice, bytes of news and of a whole listing over 300 to 9,600 backend servers, and the shape of the trees.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
     latency as latencies,
     mesh as meshes,
     mesh_flood as floods,
+    mesh_slopes as mesh_slopes_bench,
     overload,
     slopes as slopes_bench,
 )
@@ -142,12 +143,26 @@
     """Measure how a daemon's costs grow; takes about two minutes."""
     rows = slopes_bench.run(progress=_tell)
     print(file=sys.stderr)
+    _print_slopes(rows)
+    _write(output, [row._asdict() for row in rows])
+
+
+@application.command()
+def mesh_slopes(output: Output = None):
+    """Measure how a mesh daemon's state and control work grow with the fleet."""
+    rows = mesh_slopes_bench.run()
+    _print_slopes(rows)
+    most, depth = mesh_slopes_bench.find_tree(mesh_slopes_bench.TARGET_SIZE)
+    print(f"trees of {mesh_slopes_bench.TARGET_SIZE}: {most} children, depth {depth}")
+    _write(output, [row._asdict() for row in rows])
+
+
+def _print_slopes(rows):
     for row in rows:
         print(
-            f"{row.quantity:>15} over {row.over:<22} slope {row.slope:>12.6g} "
+            f"{row.quantity:>22} over {row.over:<22} slope {row.slope:>12.6g} "
             f"at nothing {row.intercept:>12.6g} residual {row.residual:>10.4g}"
         )
-    _write(output, [row._asdict() for row in rows])
 
 
 @application.command()
