--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -25,6 +25,8 @@
     help="Experiments on this machine's loopback, bounded in count and time.",
 )
 DeploymentName = typing.Annotated[str, typer.Option(help="plovdiv or bolgatanga.")]
+# Calls a second: a daemon's at the size to design for, and ten times that.
+RATES = [55, 550]
 Output = typing.Annotated[
     pathlib.Path | None, typer.Option("--json", help="Also write results here.")
 ]
@@ -100,10 +102,8 @@
     output: Output = None,
 ):
     """Measure the latency that one and two daemons add."""
-    rows = latencies.run(rates=rate or [55, 550], seconds=seconds, progress=_tell)
-    print(file=sys.stderr)
-    print("\n".join(latencies.format_table(rows)))
-    _write(output, [row._asdict() for row in rows])
+    rows = latencies.run(rates=rate or RATES, seconds=seconds, progress=_tell)
+    _show_latencies(rows, output)
 
 
 @application.command()
@@ -117,8 +117,12 @@
     """Measure the latency that one and two mesh daemons add."""
     with meshes.Fleet() as fleet:
         rows = latencies.measure(
-            fleet.list_paths(), rates=rate or [55, 550], seconds=seconds, progress=_tell
+            fleet.list_paths(), rates=rate or RATES, seconds=seconds, progress=_tell
         )
+    _show_latencies(rows, output)
+
+
+def _show_latencies(rows, output):
     print(file=sys.stderr)
     print("\n".join(latencies.format_table(rows)))
     _write(output, [row._asdict() for row in rows])
--- a/bench/latency.py
+++ b/bench/latency.py
@@ -62,7 +62,8 @@
 
     def start_backend(self, node):
         """Start the echo in place of the usual stand-in."""
-        command = [sys.executable, "-m", "bench.echo", str(node.ports["backend"])]
+        command = [sys.executable, "-m", "bench.echo"]
+        command += ["127.0.0.1", str(node.ports["backend"])]
         node.backend = self._start(command)
 
 
--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -11,7 +11,7 @@
 
 from bench import latency
 from jackdawlanding.settings import mesh as settings_files
-from tests import configurations, meshes, stores
+from tests import configurations, meshes, stores, upstreams
 
 SERVICES = ("front", "back")
 # Routes to the back service, by name, with their ranks.
@@ -77,42 +77,30 @@
         path = self.directory / f"{service}.json"
         path.write_text(json.dumps(self._make_settings(service, host, ports)))
         self._run("-OO", "-c", DAEMON, **{settings_files.FILE_VARIABLE: str(path)})
-        self.store.put(f"servers/i-{service}", self._make_entry(service, backend))
+        entry = upstreams.make_entry(
+            service=service, address="{}:{}".format(*backend), slots=self._slots
+        )
+        self.store.put(f"servers/i-{service}", entry)
 
     def _make_backend(self, host, port):
         if not self._service_seconds:
-            return "bench.signed_echo", host, port
+            return "bench.echo", host, port
         shape = (str(self._slots), str(self._service_seconds))
         return "bench.signed_backend", host, port, *shape
 
     def _make_settings(self, service, host, ports):
-        return {
-            "instance": service,
-            "service": service,
-            "host": host,
-            "region": "a",
-            "failure_domain": "a1",
-            "failure_domains": {"a1": "a"},
-            "backend_address": "{}:{}".format(*self.backends[service]),
-            "outbound_address": f"{host}:{ports['outbound']}",
-            "readiness_address": f"{host}:{ports['readiness']}",
-            "peer_port": self.peer_port,
-            "metrics_port": ports["metrics"],
-            "store_address": self.store.address,
-        }
-
-    def _make_entry(self, service, backend):
-        return {
-            "service": service,
-            "address": "{}:{}".format(*backend),
-            "zone": "a1",
-            "version": "v1",
-            "maxConcurrency": self._slots,
-            "state": "ready",
-            "warmupRemainingMs": 0,
-            "sequence": 1,
-            "born": 1,
-        }
+        return meshes.make_document(
+            instance=service,
+            service=service,
+            host=host,
+            failure_domain="a1",
+            backend_port=self.backends[service][1],
+            outbound_port=ports["outbound"],
+            readiness_port=ports["readiness"],
+            metrics_port=ports["metrics"],
+            peer_port=self.peer_port,
+            store_address=self.store.address,
+        )
 
     def _run(self, *arguments, **environment):
         process = subprocess.Popen(
--- a/src/jackdawlanding/mesh/backends.py
+++ b/src/jackdawlanding/mesh/backends.py
@@ -156,15 +156,9 @@
     def __init__(self, *, loop, address):
         self._loop = loop
         self.address = address
-        self.opened = 0
         self._idle = []
         self._open = set()
 
-    @property
-    def connections(self):
-        """How many connections are open."""
-        return len(self._open)
-
     def send(self, attempt, *, needs_fresh):
         """Send a request on an idle connection or a new one.
 
@@ -194,11 +188,6 @@
         ]:
             self.drop(one)
 
-    def close(self):
-        """Close all connections."""
-        for one in list(self._open):
-            self.drop(one)
-
     def _take_idle(self, needs_fresh):
         now = time.monotonic()
         while self._idle:
@@ -218,7 +207,6 @@
         stream = streams.connect(loop=self._loop, address=self.address)
         connection = _Connection(pool=self, stream=stream)
         self._open.add(connection)
-        self.opened += 1
         self._loop.call_later(CONNECT_SECONDS, lambda: self._check_open(connection))
         return connection
 
--- a/src/jackdawlanding/mesh/gossip.py
+++ b/src/jackdawlanding/mesh/gossip.py
@@ -44,7 +44,6 @@
         self.directory = directory.Directory()
         self.quarantine = quarantine.Quarantine(hold_seconds=SUSPECT_SECONDS)
         self.table = None
-        self.adopted_at = float("-inf")
         self._decode = decode
         self._log = log
         self._store = publications.Store(decode=self._try_decode)
@@ -87,7 +86,6 @@
             return False
         held = self._store.get(CONFIGURATION)
         self.table = routes.RouteTable(configuration=held.publication)
-        self.adopted_at = time.monotonic()
         self._log.note(
             "config",
             "A configuration is in force.",
--- a/src/jackdawlanding/mesh/loop.py
+++ b/src/jackdawlanding/mesh/loop.py
@@ -46,7 +46,6 @@
         self._running = True
         # Shared by all streams, which read one after the other.
         self.buffer = bytearray(READ_BYTES)
-        self.now = time.monotonic()
 
     def watch(self, descriptor, handler, mask=READ):
         """Call ``handler.on_events`` when the descriptor is ready."""
@@ -119,11 +118,9 @@
     def turn(self):
         """Wait once, then call what is ready and what is due."""
         for descriptor, mask in self._epoll.poll(self._find_wait(), EVENTS_PER_TURN):
-            self.now = time.monotonic()
             handler = self._handlers.get(descriptor)
             if handler is not None:
                 self._call(handler.on_events, mask)
-        self.now = time.monotonic()
         self._run_due()
         soon, self._soon = self._soon, []
         for callback in soon:
@@ -138,7 +135,8 @@
         return min(IDLE_WAIT_SECONDS, max(0.0, left))
 
     def _run_due(self):
-        while self._timers and self._timers[0][0] <= self.now:
+        now = time.monotonic()
+        while self._timers and self._timers[0][0] <= now:
             timer = heapq.heappop(self._timers)[2]
             callback, timer.callback = timer.callback, None
             if callback is not None:
--- a/src/jackdawlanding/wire/http.py
+++ b/src/jackdawlanding/wire/http.py
@@ -24,6 +24,14 @@
 _PHRASES = {one.value: one.phrase.encode() for one in http.HTTPStatus}
 
 
+def _find_header(message, name):
+    """Return the first value of a lower-case header name, or ``b''``."""
+    for key, value in message.headers:
+        if key.lower() == name:
+            return value
+    return b""
+
+
 class Request(typing.NamedTuple):
     """A whole request; ``headers`` are pairs of bytes as they came.
 
@@ -38,12 +46,7 @@
     keep_alive: bool
     peer: str = ""
 
-    def find(self, name):
-        """Return the first value of a lower-case header name, or ``b''``."""
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return b""
+    find = _find_header
 
     def find_text(self, name):
         """Return what :meth:`find` does, as text."""
@@ -57,12 +60,7 @@
     headers: tuple = ()
     body: bytes = b""
 
-    def find(self, name):
-        """Return the first value of a lower-case header name, or ``b''``."""
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return b""
+    find = _find_header
 
 
 class RequestError(Exception):
--- /dev/null
+++ b/tests/calls.py
@@ -0,0 +1,27 @@
+"""Calls as they cross a link."""
+
+from jackdawlanding.mesh import messages
+
+
+def make_call(number, **fields):
+    """Return a call; ``fields`` go before the plain ones."""
+    plain = messages.Call(
+        number=number,
+        instance="i-1",
+        service="desk",
+        route="r",
+        method="GET",
+        target="/",
+        headers=[],
+        body=b"",
+        has_body=False,
+        left=5.0,
+        objective=1.0,
+        rank=0,
+        is_safe=False,
+        is_inner=False,
+        caller="desk",
+        request_id=f"q{number}",
+        repeat=0.0,
+    )
+    return plain._replace(**fields)
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -19,6 +19,26 @@
         return sock.getsockname()[1]
 
 
+def make_document(
+    *, host, failure_domain, backend_port, outbound_port, readiness_port, **fields
+):
+    """Return a daemon's settings, as its file holds them."""
+    return {
+        "host": host,
+        "region": REGIONS[failure_domain],
+        "failure_domain": failure_domain,
+        "failure_domains": REGIONS,
+        "backend_address": f"{host}:{backend_port}",
+        "outbound_address": f"{host}:{outbound_port}",
+        "readiness_address": f"{host}:{readiness_port}",
+        "grace_seconds": 4,
+        "retry_ratio": 0.2,
+        "retry_window_seconds": 10,
+        "retry_slack": 48,
+        **fields,
+    }
+
+
 class Member:
     """One daemon beside one backend server.
 
@@ -36,24 +56,18 @@
         self._thread = None
 
     def start(self):
-        document = {
-            "instance": f"member-{self.host}",
-            "service": self.upstream.service,
-            "host": self.host,
-            "region": REGIONS[self.zone],
-            "failure_domain": self.zone,
-            "failure_domains": REGIONS,
-            "backend_address": f"{self.host}:{self.upstream.port}",
-            "outbound_address": f"{self.host}:{self.ports['outbound']}",
-            "readiness_address": f"{self.host}:{self.ports['ready']}",
-            "peer_port": self.peer_port,
-            "metrics_port": self.ports["pages"],
-            "store_address": self.store.address,
-            "grace_seconds": 4,
-            "retry_ratio": 0.2,
-            "retry_window_seconds": 10,
-            "retry_slack": 48,
-        }
+        document = make_document(
+            instance=f"member-{self.host}",
+            service=self.upstream.service,
+            host=self.host,
+            failure_domain=self.zone,
+            backend_port=self.upstream.port,
+            outbound_port=self.ports["outbound"],
+            readiness_port=self.ports["ready"],
+            metrics_port=self.ports["pages"],
+            peer_port=self.peer_port,
+            store_address=self.store.address,
+        )
         self.daemon = app.MeshDaemon(settings=settings_files.make(document))
         self._thread = threading.Thread(
             target=self.daemon.run, kwargs={"takes_signals": False}, daemon=True
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings, strategies
 
 from jackdawlanding.mesh import codec, messages
+from tests import calls
 
 
 def make_call(number, *, body=b""):
@@ -13,8 +14,8 @@
     request_id = f"{random.Random(number).getrandbits(64):016x}"
     headers = [b"Host", b"bank.example", b"User-Agent", b"client/1.9", b"Accept"]
     headers += [b"*/*", b"X-Number", request_id.encode()]
-    return messages.Call(
-        number=number,
+    return calls.make_call(
+        number,
         instance="i-7f3a91c2",
         service="bank",
         route="orders",
@@ -25,12 +26,7 @@
         has_body=bool(body),
         left=2.5,
         objective=0.5,
-        rank=0,
-        is_safe=False,
-        is_inner=False,
-        caller="desk",
         request_id=request_id,
-        repeat=0.0,
     )
 
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -6,7 +6,7 @@
 
 from jackdawlanding.decisions import outcomes
 from jackdawlanding.mesh import links, loop as loops, messages, serving, streams
-from tests import meshes, proxies
+from tests import calls, meshes, proxies
 
 HOST = "127.0.0.1"
 
@@ -32,28 +32,6 @@
         self.calls[number](reply._replace(status=200, body=b"x"))
 
 
-def make_call(number, *, is_safe=False):
-    return messages.Call(
-        number=number,
-        instance="i-1",
-        service="desk",
-        route="r",
-        method="GET",
-        target="/",
-        headers=[],
-        body=b"",
-        has_body=False,
-        left=5.0,
-        objective=1.0,
-        rank=0,
-        is_safe=is_safe,
-        is_inner=False,
-        caller="desk",
-        request_id=f"q{number}",
-        repeat=0.0,
-    )
-
-
 class LinkTest(unittest.TestCase):
     """A caller and a host on one loop, with a proxy between them."""
 
@@ -107,7 +85,7 @@
         self.run_until(lambda: time.monotonic() > end)
 
     def send(self, number, **fields):
-        call = make_call(number, **fields)
+        call = calls.make_call(number, **fields)
         self.link.call(call, lambda reply: self.replies.setdefault(number, reply))
 
     def wait_running(self, number):
--- a/tests/upstreams.py
+++ b/tests/upstreams.py
@@ -9,6 +9,21 @@
 SIGNATURE = "test.signature"
 
 
+def make_entry(*, service, address, slots, zone="a1", state="ready"):
+    """Return what a backend server writes to the store."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": zone,
+        "version": "v1",
+        "maxConcurrency": slots,
+        "state": state,
+        "warmupRemainingMs": 0,
+        "sequence": 1,
+        "born": 1,
+    }
+
+
 class Upstream:
     """A backend server: runs requests in slots, and misbehaves on demand.
 
@@ -58,17 +73,13 @@
         ).start()
 
     def entry(self, *, host="127.0.0.1", zone="a1", state="ready", slots=None):
-        return {
-            "service": self.service,
-            "address": f"{host}:{self.port}",
-            "zone": zone,
-            "version": "v1",
-            "maxConcurrency": slots or self.slots,
-            "state": state,
-            "warmupRemainingMs": 0,
-            "sequence": 1,
-            "born": 1,
-        }
+        return make_entry(
+            service=self.service,
+            address=f"{host}:{self.port}",
+            zone=zone,
+            state=state,
+            slots=slots or self.slots,
+        )
 
     def stop(self):
         self._server.shutdown()
