Survive unknown words and values of other writers in the store

Deeply nested JSON raised RecursionError, and a number of more than 64 bits or a lone surrogate in an entry was accepted but could not be sent to a peer: the readers of the store then sent no update at all and read the same entry again and again. Ruled out: the reader and gossip themselves; each entry alone is applied well.

--- a/src/jackdawlanding/daemon/control.py
+++ b/src/jackdawlanding/daemon/control.py
@@ -162,7 +162,7 @@
         fields = {"wants_keys": wants_keys}
         self._pool.submit(self._sync_and_log_errors, address, fields, service)
 
-    def _sync_and_log_errors(self, address, fields, service):
+    def _sync_and_log_errors(self, address, fields, service=None):
         try:
             self._sync(address, fields, service)
         except Exception:
@@ -375,7 +375,7 @@
     def _sync_all(self, seconds):
         """Exchange a sync message with all members; wait at most ``seconds``."""
         futures = [
-            self._pool.submit(self._sync, entry.address, {})
+            self._pool.submit(self._sync_and_log_errors, entry.address, {})
             for name, entry in self._context.roster.listed.items()
             if name != self._context.settings.instance
         ]
--- a/src/jackdawlanding/decisions/routes.py
+++ b/src/jackdawlanding/decisions/routes.py
@@ -47,12 +47,14 @@
     """One version of all routes, services and limits.
 
     ``services`` maps the name of a service to the most connections that it accepts.
+    ``warnings`` says in which ways the operator's document was not understood.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict
     limits: Limits = Limits()
+    warnings: tuple[str, ...] = ()
 
 
 class RouteTable:
--- a/src/jackdawlanding/mesh/gossip.py
+++ b/src/jackdawlanding/mesh/gossip.py
@@ -98,6 +98,8 @@
             version=active.version,
             source=source,
         )
+        for warning in active.publication.warnings:
+            self._log.note("config", "A part is not understood.", reason=warning)
         self._notify("configuration")
         return True
 
--- a/src/jackdawlanding/platform/documents.py
+++ b/src/jackdawlanding/platform/documents.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import json
+import math
 import typing
 
 from jackdawlanding.decisions import directory, routes
@@ -10,12 +11,19 @@
 CONFIGURATION_KEY = "op/config"
 BACKEND_PREFIX = "servers/"
 MILLIS_PER_SECOND = 1000.0
-_SAFE_ROUTE_TYPE = "safe"
-_ROUTE_TYPES = {_SAFE_ROUTE_TYPE, "unsafe"}
+# Whether a request of a route of this type may run more than once.
+_IS_SAFE = {"safe": True, "unsafe": False, "upload": False}
 # Whether a backend server in this state is draining.
 _IS_DRAINING = {"ready": False, "draining": True}
 
 
+MAXIMUM_PORT = 65535
+# The largest integer that a message to another daemon can carry.
+MAXIMUM_INTEGER = 2**63 - 1
+# What damaged or foreign data raises while it is decoded.
+_DECODING_ERRORS = (ValueError, TypeError, LookupError, AttributeError, RecursionError)
+
+
 class DocumentError(ValueError):
     """A document is malformed or invalid."""
 
@@ -52,7 +60,7 @@
             revision=int(document["at"]),
             has_more=bool(document.get("hasMore")),
         )
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except _DECODING_ERRORS as error:
         raise DocumentError(
             f"the store's answer can't be decoded: {error!r}"
         ) from error
@@ -71,30 +79,41 @@
 def decode_configuration(data):
     """Return the ``routes.Configuration`` that the operator published.
 
+    Words that are unknown here leave the rest usable, with a warning each: a route of
+    an unknown type must not run twice, and an unknown kind of resource is skipped.
+
     :raises DocumentError: the data is malformed, or a route in it is invalid.
     """
     try:
         document = json.loads(data)
-        fields = {"routes": [], "services": {}, "limits": routes.Limits()}
+        fields = {
+            "routes": [],
+            "services": {},
+            "limits": routes.Limits(),
+            "warnings": [],
+        }
         for entry in document["resources"]:
-            _RESOURCE_HANDLERS[entry["entryKind"]](fields, entry)
+            _RESOURCE_HANDLERS.get(entry["entryKind"], _skip)(fields, entry)
         return routes.Configuration(
             version=int(document["version"], 16),
             routes=tuple(fields["routes"]),
             services=fields["services"],
             limits=fields["limits"],
+            warnings=tuple(fields["warnings"]),
         )
     except DocumentError:
         raise
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except _DECODING_ERRORS as error:
         raise DocumentError(f"the configuration can't be decoded: {error!r}") from error
 
 
 def _add_route(fields, entry):
     name, spec = entry["metadata"]["name"], entry["spec"]
-    if spec["routeType"] not in _ROUTE_TYPES:
-        raise DocumentError(
-            f"route {name!r} has the unknown routeType {spec['routeType']!r}"
+    route_type = spec.get("routeType")
+    if route_type not in _IS_SAFE:
+        fields["warnings"].append(
+            f"route {name!r} has the unknown routeType {route_type!r}: "
+            "its requests are sent at most once"
         )
     shares = spec.get("trafficSplit") or [{"service": spec["service"], "weight": 1}]
     fields["routes"].append(
@@ -102,7 +121,7 @@
             name=str(name),
             host=routes.normalize_host(spec["host"]),
             prefix=str(spec["prefix"]),
-            is_safe=spec["routeType"] == _SAFE_ROUTE_TYPE,
+            is_safe=_IS_SAFE.get(route_type, False),
             timeout=_to_seconds(spec["timeoutMs"]),
             objective=_to_seconds(spec["targetLatencyMs"]),
             rank=int(spec["priority"]),
@@ -126,6 +145,12 @@
     )
 
 
+def _skip(fields, entry):
+    fields["warnings"].append(
+        f"a resource of the unknown entryKind {entry['entryKind']!r} is skipped"
+    )
+
+
 def _set_limits(fields, entry):
     spec = entry["spec"]
     fields["limits"] = routes.Limits(
@@ -153,14 +178,14 @@
         host, _, port = entry["address"].rpartition(":")
         if not _is_integer(entry["maxConcurrency"]) or entry["maxConcurrency"] < 1:
             raise DocumentError(f"{key!r} has no valid maxConcurrency")
-        if not isinstance(entry["service"], str) or not isinstance(entry["zone"], str):
-            raise DocumentError(f"{key!r} has no valid service or failure domain")
+        if not 0 < int(port) <= MAXIMUM_PORT:
+            raise DocumentError(f"{key!r} has no valid port: {port!r}")
         return directory.Backend(
-            instance=key.removeprefix(BACKEND_PREFIX),
-            service=entry["service"],
-            host=str(host),
+            instance=_check_text(key.removeprefix(BACKEND_PREFIX)),
+            service=_check_text(entry["service"]),
+            host=_check_text(host),
             port=int(port),
-            failure_domain=entry["zone"],
+            failure_domain=_check_text(entry["zone"]),
             slots=entry["maxConcurrency"],
             is_draining=_IS_DRAINING[entry["state"]],
             warm_seconds=_to_seconds(entry.get("warmupRemainingMs", 0)),
@@ -168,15 +193,32 @@
         )
     except DocumentError:
         raise
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except _DECODING_ERRORS as error:
         raise DocumentError(f"{key!r} can't be decoded: {error!r}") from error
 
 
 def _is_integer(value):
-    return isinstance(value, int) and not isinstance(value, bool)
+    """Return whether a value is an integer that a message to a peer can carry."""
+    return (
+        isinstance(value, int)
+        and not isinstance(value, bool)
+        and abs(value) <= MAXIMUM_INTEGER
+    )
+
+
+def _check_text(value):
+    """Return a text that can be encoded; JSON may hold lone surrogates."""
+    if not isinstance(value, str):
+        raise DocumentError(f"{value!r} is not a text")
+    value.encode()
+    return value
 
 
 def _to_seconds(millis):
-    if isinstance(millis, bool) or not isinstance(millis, (int, float)):
+    if (
+        isinstance(millis, bool)
+        or not isinstance(millis, (int, float))
+        or not math.isfinite(millis)
+    ):
         raise DocumentError(f"{millis!r} is not a number of milliseconds")
     return millis / MILLIS_PER_SECOND
--- a/tests/test_mesh_updates.py
+++ b/tests/test_mesh_updates.py
@@ -50,6 +50,24 @@
             )
             self.assertEqual(len(mesh.members[0].daemon.fleet_state.directory), 4)
 
+    def test_an_overwritten_entry_names_no_instance_and_the_others_hold(self):
+        """An entry was overwritten with values that can't be sent to a peer.
+
+        The daemons that read the store then sent no update of any kind, and read
+        the entry again and again.
+        """
+        with self.make() as mesh:
+            desk, near = mesh.members[:2]
+            good = near.backend_server.make_entry(host=near.host)
+            for changes in ({"maxConcurrency": 10**30}, {"service": "\ud800"}):
+                mesh.store.put("servers/i-1", {**good, **changes})
+                mesh.store.put("servers/i-6", b"[" * 100000)
+                mesh.wait_ready(count=3)
+                self.assertEqual(desk.call("/pay/1", method="POST")[0], 200)
+                self.assertEqual(near.backend_server.runs, [])
+                mesh.store.put("servers/i-1", good)
+                mesh.wait_ready(count=4)
+
     def test_configurations_reach_all_and_versions_never_decrease(self):
         with self.make() as mesh:
             desk = mesh.members[0]
