Keep the directory's indexes, the readers' order and the trees up to date

Cause: each change of one backend server looked through all records and ordered all hosts anew several times, and ten times a second each daemon looked through all records for removals to forget; each broadcast did so for what is new. Change: removed records, hosts, revisions, addresses and services are kept apart and changed one at a time; trees compute a node's children from the order. Tests: each order after changes against a fresh one, all indexes against a look through all records (hypothesis); the trees' tests are the same checks on the new interface.

--- a/bench/mesh_cost_slopes.py
+++ b/bench/mesh_cost_slopes.py
@@ -52,12 +52,13 @@
 
     :param size: how many daemons the trees reach.
     """
-    hosts = [_make_host(number) for number in range(size)]
-    fleet_trees = trees.build_trees(hosts)
+    order = readers.ReaderOrder(_make_host(number) for number in range(size))
+    fleet_trees = trees.make_trees(order)
     most_children = max(
-        sum(len(tree.list_children(host)) for tree in fleet_trees) for host in hosts
+        sum(len(tree.list_children(order.get(position))) for tree in fleet_trees)
+        for position in range(size)
     )
-    depth, level, reached = 0, [readers.order(hosts)[0]], 1
+    depth, level, reached = 0, [order.get(0)], 1
     while level:
         level = [
             child for host in level for child in fleet_trees[0].list_children(host)
@@ -119,17 +120,21 @@
     """Store a change of one backend server and update what a daemon derives from it."""
     fleet_directory = fleet_state.directory
     backend = fleet_directory.get("i-0000000001")
-    fleet_directory.put(
-        now=time.monotonic(),
-        instance=backend.instance,
-        revision=fleet_directory.get_revision(backend.instance) + DESIGN_SIZE,
-        backend=backend._replace(slots=backend.slots + 1),
-    )
+    revision = fleet_directory.get_revision(backend.instance) + DESIGN_SIZE
+    for changed in (None, backend._replace(slots=backend.slots + 1)):
+        revision += 1
+        fleet_directory.put(
+            now=time.monotonic(),
+            instance=backend.instance,
+            revision=revision,
+            backend=changed,
+        )
+    fleet_directory.confirm(revision=revision, at=time.monotonic())
     fleet_directory.list_service(backend.service)
-    hosts = fleet_directory.list_hosts()
-    readers.compute_position(host=backend.host, hosts=hosts)
-    trees.build_trees(hosts)
-    fleet_directory.list_instances()
+    fleet_directory.hosts.compute_position(backend.host)
+    for tree in trees.make_trees(fleet_directory.hosts):
+        tree.list_children(backend.host)
+    fleet_directory.list_since(revision - 2)
     len(fleet_directory)
 
 
--- a/src/jackdawlanding/decisions/directory.py
+++ b/src/jackdawlanding/decisions/directory.py
@@ -4,8 +4,11 @@
 may arrive from the store or from other daemons, in any order and more than once.
 """
 
+import bisect
 import typing
 
+from jackdawlanding.decisions import readers
+
 # How long removals are remembered: the longest that a daemon may lag behind the
 # store.
 REMOVAL_SECONDS = 120.0
@@ -60,9 +63,16 @@
         self.complete_revision = 0
         self.history_from = 0
         self.confirmed_at = float("-inf")
+        # The hosts of all backends.
+        self.hosts = readers.ReaderOrder()
         self._records = {}
-        # Indexes of the records, built on demand after a change.
-        self._newest = None
+        # Pairs of a revision and its instance, ascending.
+        self._revisions = []
+        # When each removed instance was removed, oldest first.
+        self._removed = {}
+        self._instances_by_host = {}
+        # The newest backend of each address.
+        self._newest = {}
         self._by_service = {}
         self._held_removals = {}
         self._hold_until = float("-inf")
@@ -88,7 +98,10 @@
         return min(self.confirmed_at, self._hold_until - REGISTRATION_SECONDS)
 
     def __len__(self):
-        return sum(1 for record in self._records.values() if record.backend)
+        return len(self._records) - len(self._removed)
+
+    def __contains__(self, instance):
+        return self.get(instance) is not None
 
     def get(self, instance):
         """Return the backend of an instance, or ``None``."""
@@ -106,22 +119,15 @@
 
     def list_service(self, service):
         """Return the backends of a service, draining ones included."""
-        self._build_indexes()
         return self._by_service.get(service, ())
 
     def find_by_address(self, host, port):
         """Return the newest backend at an address, or ``None``."""
-        self._build_indexes()
-        record = self._newest.get((host, port))
-        return record.backend if record else None
+        return self._newest.get((host, port))
 
-    def list_hosts(self):
-        """Return a dictionary of each backend's host to its failure domain."""
-        return {
-            record.backend.host: record.backend.failure_domain
-            for record in self._records.values()
-            if record.backend
-        }
+    def list_at_host(self, host):
+        """Return the names of the instances at a host."""
+        return list(self._instances_by_host.get(host, ()))
 
     def put(self, *, now, instance, revision, backend):
         """Store a record unless a newer one is stored.
@@ -138,13 +144,9 @@
             self._held_removals[instance] = revision
             return False
         self._held_removals.pop(instance, None)
-        self._records[instance] = Record(
-            revision=revision, backend=backend, stored_at=now
-        )
         before = known.backend if known else None
-        if before == backend:
-            return False
-        self._newest = None
+        record = Record(revision=revision, backend=backend, stored_at=now)
+        self._store(instance, known, record)
         return _clear_warmth(before) != _clear_warmth(backend)
 
     def remove_unlisted(self, *, now, names, revision):
@@ -184,9 +186,7 @@
             for instance, revision in held.items():
                 self.put(now=now, instance=instance, revision=revision, backend=None)
                 applied.append(instance)
-        for name, record in list(self._records.items()):
-            if record.backend is None and now - record.stored_at > REMOVAL_SECONDS:
-                del self._records[name]
+        self._forget_removals(now)
         return applied
 
     def confirm(self, *, revision, at):
@@ -199,35 +199,83 @@
 
         Removals are complete only if ``revision`` is at least ``history_from``.
         """
-        return [
-            (name, record)
-            for name, record in self._records.items()
-            if record.revision > revision
-        ]
-
-    def _build_indexes(self):
-        """Index the newest backend of each address by address and by service.
+        start = bisect.bisect_left(self._revisions, (revision + 1,))
+        return [(name, self._records[name]) for _, name in self._revisions[start:]]
+
+    def _store(self, instance, known, record):
+        """Replace the record of an instance, and update all that is derived from it."""
+        if known is not None:
+            self._remove_revision(instance, known)
+        bisect.insort(self._revisions, (record.revision, instance))
+        self._records[instance] = record
+        self._removed.pop(instance, None)
+        if record.backend is None:
+            self._removed[instance] = record.stored_at
+        before = known.backend if known else None
+        addresses = {
+            _get_address(backend) for backend in (before, record.backend) if backend
+        }
+        if before is not None:
+            self._remove_from_host(instance, before)
+        if record.backend is not None:
+            self._add_to_host(instance, record.backend)
+        for address in addresses:
+            self._choose_newest(address)
+
+    def _remove_revision(self, instance, record):
+        entry = (record.revision, instance)
+        del self._revisions[bisect.bisect_left(self._revisions, entry)]
+
+    def _forget_removals(self, now):
+        """Forget the records of instances that were removed long ago."""
+        while self._removed:
+            name, removed_at = next(iter(self._removed.items()))
+            if now - removed_at <= REMOVAL_SECONDS:
+                return
+            del self._removed[name]
+            self._remove_revision(name, self._records.pop(name))
+
+    def _add_to_host(self, instance, backend):
+        instances = self._instances_by_host.get(backend.host, ())
+        if not instances:
+            self.hosts.add(backend.host)
+        self._instances_by_host[backend.host] = (*instances, instance)
+
+    def _remove_from_host(self, instance, backend):
+        instances = list(self._instances_by_host.pop(backend.host))
+        instances.remove(instance)
+        if instances:
+            self._instances_by_host[backend.host] = tuple(instances)
+        else:
+            self.hosts.remove(backend.host)
+
+    def _choose_newest(self, address):
+        """Put the newest backend of an address in use there.
 
         An address may be in use again while its former user's record remains.
         """
-        if self._newest is not None:
+        before = self._newest.pop(address, None)
+        records = [
+            self._records[instance]
+            for instance in self._instances_by_host.get(address[0], ())
+            if _get_address(self._records[instance].backend) == address
+        ]
+        after = None
+        if records:
+            after = self._newest[address] = max(records, key=_get_age_key).backend
+        if before == after:
             return
-        self._newest = {}
-        for record in self._records.values():
-            if record.backend:
-                self._keep_newer(record)
-        services = {}
-        for record in self._newest.values():
-            services.setdefault(record.backend.service, []).append(record.backend)
-        self._by_service = {
-            service: tuple(backends) for service, backends in services.items()
-        }
+        if before is not None:
+            rest = list(self._by_service[before.service])
+            rest.remove(before)
+            self._by_service[before.service] = tuple(rest)
+        if after is not None:
+            others = self._by_service.get(after.service, ())
+            self._by_service[after.service] = (*others, after)
+
 
-    def _keep_newer(self, record):
-        address = record.backend.host, record.backend.port
-        other = self._newest.get(address)
-        if other is None or _get_age_key(record) > _get_age_key(other):
-            self._newest[address] = record
+def _get_address(backend):
+    return backend.host, backend.port
 
 
 def _get_age_key(record):
--- a/src/jackdawlanding/decisions/readers.py
+++ b/src/jackdawlanding/decisions/readers.py
@@ -4,6 +4,8 @@
 store's state has not been confirmed for a while.
 """
 
+import bisect
+
 from jackdawlanding.decisions import rendezvous
 
 READER_COUNT = 2
@@ -23,24 +25,51 @@
 _KEY = b"readers of the store"
 
 
-def order(hosts):
-    """Return the hosts in the order in which their daemons read the store."""
-    return rendezvous.order(_KEY, hosts)
-
+class ReaderOrder:
+    """Hosts in the order in which their daemons read the store, first the readers.
 
-def compute_position(*, host, hosts):
-    """Return a host's position in the order of readers, 0 first.
+    Adding or removing a host takes a time that hardly grows with their number.
 
-    A host that isn't among ``hosts`` comes last.
+    :param hosts: the first hosts, in any order.
     """
-    ordered = order(hosts)
-    return ordered.index(host) if host in ordered else len(ordered)
+
+    def __init__(self, hosts=()):
+        self._weights = {host: rendezvous.weigh(_KEY, host) for host in hosts}
+        # Ascending weights, each with its host.
+        self._sorted = sorted(self._weights.values())
+
+    def __len__(self):
+        return len(self._sorted)
+
+    def __contains__(self, host):
+        return host in self._weights
+
+    def add(self, host):
+        """Add a host that is not in the order."""
+        weight = self._weights[host] = rendezvous.weigh(_KEY, host)
+        bisect.insort(self._sorted, weight)
+
+    def remove(self, host):
+        """Remove a host."""
+        weight = self._weights.pop(host)
+        del self._sorted[bisect.bisect_left(self._sorted, weight)]
+
+    def get(self, position):
+        """Return the host at a position, 0 first."""
+        return self._sorted[-1 - position][1]
+
+    def compute_position(self, host):
+        """Return a host's position; a host that isn't in the order comes last."""
+        weight = self._weights.get(host)
+        if weight is None:
+            return len(self._sorted)
+        return len(self._sorted) - 1 - bisect.bisect_left(self._sorted, weight)
 
 
 def compute_read_delay(*, position, age):
     """Return the seconds until a daemon should read.
 
-    :param position: see :func:`compute_position`.
+    :param position: see :meth:`ReaderOrder.compute_position`.
     :param age: seconds since the store confirmed the daemon's state.
     """
     if position < READER_COUNT:
--- a/src/jackdawlanding/decisions/selection.py
+++ b/src/jackdawlanding/decisions/selection.py
@@ -201,11 +201,10 @@
         stats.avoid_until = max(stats.avoid_until, now + seconds)
 
     def retain_only(self, instances):
-        """Remove the statistics of all other instances."""
-        names = set(instances)
-        for name in set(self._stats) - names:
+        """Remove the statistics of all instances that are not in ``instances``."""
+        for name in [name for name in self._stats if name not in instances]:
             del self._stats[name]
-        for key in [key for key in self._durations if key[0] not in names]:
+        for key in [key for key in self._durations if key[0] not in instances]:
             del self._durations[key]
 
     def _get(self, instance):
--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -276,7 +276,7 @@
 
     def _apply_directory(self):
         self.executor.apply_backend()
-        self.links.retain_only(self.fleet_state.directory.list_hosts())
+        self.links.retain_only(self.fleet_state.directory.hosts)
 
     def _maintain_links(self):
         self.links.tick()
--- a/src/jackdawlanding/mesh/dispatcher.py
+++ b/src/jackdawlanding/mesh/dispatcher.py
@@ -124,11 +124,10 @@
         """Avoid the instances at a host that is shutting down, for the grace period."""
         now = time.monotonic()
         directory = self._fleet_state.directory
-        for instance in directory.list_instances():
-            if directory.get(instance).host == host:
-                self._selector.avoid(
-                    now=now, instance=instance, seconds=self._settings.grace
-                )
+        for instance in directory.list_at_host(host):
+            self._selector.avoid(
+                now=now, instance=instance, seconds=self._settings.grace
+            )
 
     def _refuse_if_shutting_down(self, exchange):
         """Return a refusal of a new request during shutdown, else ``None``."""
@@ -342,7 +341,7 @@
 
     def _apply_directory(self):
         directory = self._fleet_state.directory
-        self._selector.retain_only(directory.list_instances())
+        self._selector.retain_only(directory)
         self._retry_policy.set_daemon_count(len(directory))
 
 
--- a/src/jackdawlanding/mesh/gossip.py
+++ b/src/jackdawlanding/mesh/gossip.py
@@ -209,7 +209,7 @@
         self._is_applying_broadcast = False
         self._sent_revision = 0
         self._sent_version = 0
-        self._trees = ()
+        self._trees = trees.make_trees(fleet_state.directory.hosts)
         self._handlers = {
             messages.Digest: self._handle_digest,
             messages.StateUpdate: self._handle_update,
@@ -232,19 +232,11 @@
         self._forward(self._make_increment(tree=tree))
 
     def _forward(self, update):
-        for host in self._get_tree(update.tree).list_children(self._local_host):
+        for host in self._trees[update.tree].list_children(self._local_host):
             self._links.get(host).send(update)
 
-    def _get_tree(self, number):
-        if not self._trees:
-            hosts = self._fleet_state.directory.list_hosts()
-            self._trees = trees.build_trees(hosts)
-        return self._trees[number]
-
     def _on_change(self, topic):
         """Schedule an update to some peers; changes until then share it."""
-        if topic == "directory":
-            self._trees = ()
         if not self._is_push_scheduled and not self._is_applying_broadcast:
             self._is_push_scheduled = True
             self._loop.call_soon(self._push)
@@ -264,10 +256,11 @@
             self._links.get(host).send(digest)
 
     def _sample_hosts(self, count):
-        hosts = self._fleet_state.directory.list_hosts()
-        hosts.pop(self._local_host, None)
-        names = sorted(hosts)
-        return self._random.sample(names, min(count, len(names)))
+        """Return up to ``count`` hosts of other daemons at random."""
+        hosts = self._fleet_state.directory.hosts
+        drawn = self._random.sample(range(len(hosts)), min(count + 1, len(hosts)))
+        names = [hosts.get(position) for position in drawn]
+        return [name for name in names if name != self._local_host][:count]
 
     def _make_digest(self):
         fleet_state = self._fleet_state
--- a/src/jackdawlanding/mesh/links.py
+++ b/src/jackdawlanding/mesh/links.py
@@ -331,6 +331,6 @@
 
     def retain_only(self, hosts):
         """Close links to hosts not in ``hosts``, unless calls are pending."""
-        for host in set(self._links) - set(hosts):
+        for host in [host for host in self._links if host not in hosts]:
             if not self._links[host].pending_count:
                 self._links.pop(host).close()
--- a/src/jackdawlanding/mesh/storereader.py
+++ b/src/jackdawlanding/mesh/storereader.py
@@ -56,8 +56,8 @@
         self._loop.call_later(random.uniform(0, CHECK_INTERVAL_SECONDS), self._check)
 
     def _update_position(self):
-        hosts = self._fleet_state.directory.list_hosts()
-        self._position = readers.compute_position(host=self._local_host, hosts=hosts)
+        hosts = self._fleet_state.directory.hosts
+        self._position = hosts.compute_position(self._local_host)
 
     def _check(self):
         now = time.monotonic()
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -3,6 +3,9 @@
 import random
 import unittest
 
+import hypothesis
+from hypothesis import strategies
+
 from jackdawlanding.decisions import directory
 
 HOST = "10.0.0.1"
@@ -150,5 +153,86 @@
         self.assertEqual(self.directory.find_by_address(HOST, 80).instance, "i-2")
 
 
+INSTANCES = ("i-1", "i-2", "i-3", "i-4")
+HOSTS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+PUTS = strategies.tuples(
+    strategies.sampled_from(INSTANCES),
+    strategies.integers(1, 30),
+    strategies.one_of(
+        strategies.none(),
+        strategies.builds(
+            make_backend,
+            host=strategies.sampled_from(HOSTS),
+            service=strategies.sampled_from(("desk", "bank")),
+            is_draining=strategies.booleans(),
+            born=strategies.integers(0, 2),
+        ),
+    ),
+)
+
+
+class IndexTest(unittest.TestCase):
+    """What is kept for quick answers says the same as a look through all records."""
+
+    @hypothesis.settings(max_examples=200, derandomize=True)
+    @hypothesis.given(strategies.lists(PUTS, max_size=25))
+    def test_indexes_agree_with_the_records(self, puts):
+        """An index that misses one change sends requests to a server that is gone."""
+        known = directory.Directory()
+        records = {}
+        for now, (name, revision, backend) in enumerate(puts):
+            if backend is not None:
+                backend = backend._replace(instance=name)
+            known.put(now=float(now), instance=name, revision=revision, backend=backend)
+            if name not in records or records[name][0] < revision:
+                records[name] = (revision, backend)
+            self.check(known, records)
+        known.apply_held_removals(now=1000.0)
+        self.check(
+            known, {name: record for name, record in records.items() if record[1]}
+        )
+
+    def check(self, known, records):
+        backends = [backend for _, backend in records.values() if backend]
+        self.assertEqual(len(known), len(backends))
+        self.assertEqual(
+            sorted(known.list_instances()),
+            sorted(backend.instance for backend in backends),
+        )
+        for revision in (0, 10, 20):
+            self.assertEqual(
+                sorted(name for name, _ in known.list_since(revision)),
+                sorted(
+                    name for name, record in records.items() if record[0] > revision
+                ),
+            )
+        for host in HOSTS:
+            at_host = [backend for backend in backends if backend.host == host]
+            self.assertEqual(host in known.hosts, bool(at_host))
+            self.assertEqual(
+                sorted(known.list_at_host(host)),
+                sorted(backend.instance for backend in at_host),
+            )
+            newest = max(
+                at_host,
+                key=lambda backend: (backend.born, records[backend.instance][0]),
+                default=None,
+            )
+            found = known.find_by_address(host, 80)
+            if newest is None:
+                self.assertIsNone(found)
+                continue
+            key = (newest.born, records[newest.instance][0])
+            self.assertEqual((found.born, records[found.instance][0]), key)
+            for service in ("desk", "bank"):
+                listed = [
+                    backend
+                    for backend in known.list_service(service)
+                    if backend.host == host
+                ]
+                expected = [found] if found.service == service else []
+                self.assertEqual(listed, expected)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -3,6 +3,9 @@
 import random
 import unittest
 
+import hypothesis
+from hypothesis import strategies
+
 from jackdawlanding.decisions import readers, routes, splits, trees
 
 
@@ -55,22 +58,24 @@
 
     def test_each_tree_reaches_all_hosts_from_its_reader(self):
         hosts = [f"10.0.{n // 250}.{n % 250}" for n in range(700)]
-        order = readers.order(hosts)
-        for number, tree in enumerate(trees.build_trees(hosts)):
-            self.assertEqual(self.reach(tree, order[number]), set(hosts))
+        order = readers.ReaderOrder(hosts)
+        for number, tree in enumerate(trees.make_trees(order)):
+            self.assertEqual(self.reach(tree, order.get(number)), set(hosts))
 
     def test_one_lost_daemon_cuts_off_no_host_from_both_trees(self):
         hosts = [f"10.0.0.{n}" for n in range(60)]
-        order = readers.order(hosts)
-        for lost in order[readers.READER_COUNT :]:
+        order = readers.ReaderOrder(hosts)
+        for position in range(readers.READER_COUNT, len(hosts)):
+            lost = order.get(position)
             reached = set()
-            for number, tree in enumerate(trees.build_trees(hosts)):
-                reached |= self.reach(tree, order[number], {lost})
+            for number, tree in enumerate(trees.make_trees(order)):
+                reached |= self.reach(tree, order.get(number), {lost})
             self.assertEqual(reached, set(hosts) - {lost})
 
     def test_unknown_hosts_and_small_trees_have_no_children(self):
-        self.assertEqual(trees.build_trees([])[0].list_children("x"), ())
-        self.assertEqual(trees.build_trees(["x"])[1].list_children("x"), ())
+        for hosts in ([], ["x"]):
+            for tree in trees.make_trees(readers.ReaderOrder(hosts)):
+                self.assertEqual(tree.list_children("x"), ())
 
 
 class ReadersTest(unittest.TestCase):
@@ -84,7 +89,31 @@
         )
 
     def test_an_unknown_host_comes_last(self):
-        self.assertEqual(readers.compute_position(host="x", hosts=["a", "b"]), 2)
+        self.assertEqual(readers.ReaderOrder(["a", "b"]).compute_position("x"), 2)
+
+    @hypothesis.settings(max_examples=60, derandomize=True)
+    @hypothesis.given(
+        strategies.lists(strategies.integers(0, 30), max_size=60), strategies.data()
+    )
+    def test_a_changed_order_is_that_of_a_new_one(self, changes, data):
+        """All daemons must agree on it, by whatever changes they came to it."""
+        order, hosts = readers.ReaderOrder(), set()
+        for number in changes:
+            host = f"10.0.0.{number}"
+            if host in hosts:
+                hosts.remove(host)
+                order.remove(host)
+            else:
+                hosts.add(host)
+                order.add(host)
+        fresh = readers.ReaderOrder(sorted(hosts))
+        positions = range(len(hosts))
+        self.assertEqual(
+            [order.get(position) for position in positions],
+            [fresh.get(position) for position in positions],
+        )
+        for position in positions:
+            self.assertEqual(order.compute_position(order.get(position)), position)
 
 
 if __name__ == "__main__":
