--- a/src/jackdawlanding/mesh/links.py
+++ b/src/jackdawlanding/mesh/links.py
@@ -57,7 +57,11 @@
         self._encoder = None
         self._decoder = None
         self._pending = {}
+        # What responds to calls that can't be sent, by their numbers.
+        self._unsendable = {}
         self._acks = []
+        # Numbers of calls that were cancelled while the link was lost.
+        self._unsent_cancels = []
         self._peer_incarnation = ""
         self._last_received_at = 0.0
         self._opened_at = 0.0
@@ -86,24 +90,25 @@
     def call(self, call, respond):
         """Send a call; ``respond(reply)`` is called once."""
         if not self.is_reachable:
-            reply = messages.make_failure(
-                call.number, "unreachable", outcome=outcomes.Outcome.NOT_RUN
-            )
-            self._loop.call_soon(lambda: respond(reply))
+            self._unsendable[call.number] = respond
+            self._loop.call_soon(lambda: self._fail_unsendable(call.number))
             return
-        pending = PendingReply(call=call, respond=respond)
-        self._pending[call.number] = pending
+        pending = self._pending[call.number] = PendingReply(call=call, respond=respond)
         self._send(call)
         pending.was_sent = self._stream.is_open
 
     def cancel(self, number):
-        """Cancel a call; return whether it certainly never runs."""
+        """Cancel a call, without a reply; return whether it certainly never runs."""
+        if self._unsendable.pop(number, None) is not None:
+            return True
         pending = self._pending.pop(number, None)
         if pending is None:
             return False
         if self._stream is not None and self._stream.is_open:
             self._send(messages.Cancel(number=number))
-        elif not pending.was_sent:
+        elif pending.was_sent:
+            self._unsent_cancels.append(number)
+        else:
             # The call is still in the buffer of a connection that isn't open yet.
             self._stream.close()
             self._stream = None
@@ -225,6 +230,9 @@
         elif self._is_resuming and self._pending:
             logger.info("links: the link to %s is back.", self.address[0])
             self._send(messages.Resume(numbers=list(self._pending)))
+        cancels, self._unsent_cancels = self._unsent_cancels, []
+        for number in cancels if is_same_process else ():
+            self._send(messages.Cancel(number=number))
         self._is_resuming = False
         self._lost_at = None
 
@@ -259,11 +267,12 @@
         for number, pending in list(self._pending.items()):
             if not pending.was_sent:
                 del self._pending[number]
-                pending.respond(
-                    messages.make_failure(
-                        number, reason, outcome=outcomes.Outcome.NOT_RUN
-                    )
-                )
+                pending.respond(_make_not_run(number, reason))
+
+    def _fail_unsendable(self, number):
+        respond = self._unsendable.pop(number, None)
+        if respond is not None:
+            respond(_make_not_run(number, "unreachable"))
 
     def _retry_resume(self, now):
         if now - self._lost_at > RESUME_TIMEOUT_SECONDS or not self._pending:
@@ -288,6 +297,10 @@
             )
 
 
+def _make_not_run(number, reason):
+    return messages.make_failure(number, reason, outcome=outcomes.Outcome.NOT_RUN)
+
+
 class LinkPool:
     """Holds the calling sides of the links, by host.
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -125,6 +125,22 @@
         self.executor.finish(1)
         self.run_until(lambda: 1 in self.replies)
 
+    def test_a_long_call_that_was_cut_on_its_way_never_runs(self):
+        """An upload whose link breaks in the middle may go to another instance."""
+        self.send(1)
+        self.wait_until_running(1)
+        body = bytes(16 << 20)
+        self.send(2, body=body, has_body=True)
+        self.proxy.reset_all()
+        self.run_until(lambda: 2 in self.replies or 2 in self.executor.calls)
+        if 2 in self.replies:
+            self.assertEqual(self.replies[2].outcome, outcomes.Outcome.NOT_RUN)
+            self.wait(0.3)
+            self.assertNotIn(2, self.executor.calls)
+        self.executor.finish(1)
+        self.run_until(lambda: 1 in self.replies)
+        self.assertEqual(self.replies[1].outcome, outcomes.Outcome.DONE)
+
     def test_a_safe_call_without_record_may_have_run(self):
         self.send(1, is_safe=True)
         self.wait_until_running(1)
@@ -177,6 +193,28 @@
         self.assertFalse(self.link.cancel(1))
         self.run_until(lambda: self.executor.cancelled == [1])
 
+    def test_a_cancellation_while_the_link_is_lost_reaches_the_executor(self):
+        """The new link went on with the call, whose caller had left."""
+        self.send(1)
+        self.send(2)
+        self.wait_until_running(2)
+        self.proxy.go_silent()
+        self.run_until(lambda: self.link._is_resuming)
+        self.assertFalse(self.link.cancel(1))
+        self.run_until(lambda: self.executor.cancelled, seconds=2)
+        self.assertEqual(self.executor.cancelled, [1])
+        self.executor.finish(2)
+        self.run_until(lambda: 2 in self.replies)
+
+    def test_a_cancelled_call_to_an_unreachable_host_has_no_reply(self):
+        self.proxy.stop()
+        self.send(1)
+        self.run_until(lambda: 1 in self.replies)
+        self.send(2)
+        self.assertTrue(self.link.cancel(2))
+        self.wait(0.2)
+        self.assertNotIn(2, self.replies)
+
     def test_a_cancelled_unsent_call_never_runs(self):
         self.send(1)
         self.assertTrue(self.link.cancel(1))
