--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -29,6 +29,9 @@
 # In calls per second: a daemon's share at the fleet size to design for, and ten times
 # that.
 CALL_RATES = [55, 550]
+BodyBytes = typing.Annotated[
+    int, typer.Option(help="Length of the requests' bodies, in bytes.")
+]
 Output = typing.Annotated[
     pathlib.Path | None,
     typer.Option("--json", help="Also write the results to this file, as JSON."),
@@ -123,12 +126,13 @@
     rate: typing.Annotated[
         list[float] | None, typer.Option(help="Calls per second; repeatable.")
     ] = None,
+    body_bytes: BodyBytes = 0,
     output: Output = None,
 ):
     """Measure the latency that one and two mesh daemons add."""
     with mesh.Fleet() as fleet:
         rows = latencies.measure(
-            fleet.list_paths(),
+            fleet.list_paths(body_bytes=body_bytes),
             rates=rate or CALL_RATES,
             seconds=seconds,
             progress=_show_progress,
@@ -145,10 +149,11 @@
 @application.command()
 def mesh_cost(
     calls: typing.Annotated[int, typer.Option(help="How many calls.")] = 8000,
+    body_bytes: BodyBytes = 0,
     output: Output = None,
 ):
     """Measure the processor time of a call in each of two mesh daemons."""
-    costs = call_costs.run(calls=calls)
+    costs = call_costs.run(calls=calls, body_bytes=body_bytes)
     print("\n".join(call_costs.format_table(costs)))
     _write_json(output, [cost._asdict() for cost in costs])
 
--- a/bench/echo.py
+++ b/bench/echo.py
@@ -10,6 +10,7 @@
 import threading
 
 HEAD_END = b"\r\n\r\n"
+CONTENT_LENGTH = re.compile(rb"(?i)\r\ncontent-length: *(\d+)")
 REQUEST_ID = re.compile(rb"(?i)\r\nx-request-id: *([^\r]*)")
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
 SIGNATURE_HEADERS = b"X-Request-Id: %s\r\nX-Server-Signature: echo\r\n"
@@ -26,12 +27,25 @@
 
 
 def _answer(sock):
-    """Answer a connection's requests, which have no body, one after another."""
+    """Answer a connection's requests one after another."""
     while data := sock.recv(65536):
-        if data.endswith(HEAD_END):
-            request_id = REQUEST_ID.search(data)
-            headers = SIGNATURE_HEADERS % request_id[1] if request_id else b""
-            sock.sendall(STATUS_LINE + headers + LENGTH_AND_BODY)
+        head, _, body = data.partition(HEAD_END)
+        length = CONTENT_LENGTH.search(head)
+        if length and not _skip(sock, int(length[1]) - len(body)):
+            return
+        request_id = REQUEST_ID.search(head)
+        headers = SIGNATURE_HEADERS % request_id[1] if request_id else b""
+        sock.sendall(STATUS_LINE + headers + LENGTH_AND_BODY)
+
+
+def _skip(sock, count):
+    """Receive ``count`` bytes; return whether they came."""
+    while count > 0:
+        data = sock.recv(65536)
+        count -= len(data)
+        if not data:
+            return False
+    return True
 
 
 if __name__ == "__main__":
--- a/bench/latencies.py
+++ b/bench/latencies.py
@@ -38,7 +38,7 @@
     """One way to a backend server: the address to call and the request to send.
 
     ``host`` is the value of the header Host; ``headers`` holds further header lines,
-    each with its line end.
+    each with its line end; ``body_bytes`` is the length of the request's body.
     """
 
     name: str
@@ -47,6 +47,7 @@
     host: str = "back"
     target: str = "/x"
     headers: str = ""
+    body_bytes: int = 0
 
 
 class Latency(typing.NamedTuple):
@@ -172,8 +173,11 @@
 
 def format_request(path):
     """Return the bytes of a request on a path."""
-    head = f"GET {path.target} HTTP/1.1\r\nHost: {path.host}\r\n{path.headers}\r\n"
-    return head.encode()
+    method, length = "GET", ""
+    if path.body_bytes:
+        method, length = "POST", f"Content-Length: {path.body_bytes}\r\n"
+    head = f"{method} {path.target} HTTP/1.1\r\nHost: {path.host}\r\n"
+    return f"{head}{path.headers}{length}\r\n".encode() + bytes(path.body_bytes)
 
 
 def exchange(sock, request):
--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -16,6 +16,7 @@
 SERVICES = ("front", "back")
 # Routes to the back service, by name, with their ranks.
 ROUTE_RANKS = {"back": 1, "orders": 0, "browsing": 3}
+LIMITS = {"maxBodyBytes": 1 << 20}
 DAEMON = "from jackdawlanding.mesh import app; app.main()"
 READY_PATH = "/jackdawlanding/readiness"
 START_TIMEOUT_SECONDS = 10.0
@@ -50,7 +51,10 @@
             configurations.make_route(name, service="back", priority=rank, timeout=2000)
             for name, rank in ROUTE_RANKS.items()
         ]
-        self.store.put("op/config", configurations.make(1, *routes, services=SERVICES))
+        self.store.put(
+            "op/config",
+            configurations.make(1, *routes, services=SERVICES, limits=LIMITS),
+        )
         for index, service in enumerate(SERVICES):
             self._start(service, f"127.0.1.{index + 1}")
         for host, ports in self.daemons.values():
@@ -62,13 +66,17 @@
         host, ports = self.daemons["front"]
         return host, ports["outbound"]
 
-    def list_paths(self):
-        """Return the paths to the back service through none, one and two daemons."""
+    def list_paths(self, *, body_bytes=0):
+        """Return the paths to the back service through none, one and two daemons.
+
+        :param body_bytes: the length of the requests' bodies.
+        """
         front, back = self.daemons["front"], self.daemons["back"]
         request = {
             "host": "back.example",
             "target": "/back/x",
             "headers": REQUEST_HEADERS,
+            "body_bytes": body_bytes,
         }
         return (
             latencies.Path("direct", *self.backends["back"][::-1], **request),
--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -53,6 +53,10 @@
         # Whether a nested call of this execution was refused for lack of capacity.
         self.lacked_capacity = False
 
+    def drop_state(self):
+        """Drop what refers back to this execution, so that its body is freed now."""
+        self.job = self.attempt = self.respond = None
+
 
 class Executor:
     """Runs calls at one backend server.
@@ -137,9 +141,12 @@
             return False
         execution.is_ended = True
         if execution.attempt is None:
-            return self.controller.withdraw(execution.job)
+            was_waiting = self.controller.withdraw(execution.job)
+            execution.drop_state()
+            return was_waiting
         execution.attempt.cancel()
         self._release(execution, is_success=False)
+        execution.drop_state()
         self._run_next()
         return False
 
@@ -272,6 +279,8 @@
         if execution.is_ended:
             return
         execution.is_ended = True
+        respond = execution.respond
+        execution.drop_state()
         self._metrics.count(f"host_{reason or 'done'}")
         call = execution.call
         if reason:
@@ -291,7 +300,7 @@
         if response is not None:
             for pair in http.remove_hop_by_hop_headers(response.headers):
                 flat_headers += pair
-        execution.respond(
+        respond(
             messages.Reply(
                 number=call.number,
                 outcome=outcome,
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -1,15 +1,19 @@
 """Long requests, and backend servers that answer them early or without end."""
 
+import gc
 import resource
 import socket
 import threading
 import time
 import unittest
 
-from jackdawlanding.mesh import callers, streams
+from jackdawlanding.mesh import callers, messages, streams
+from jackdawlanding.wire import http
 from tests import configurations, meshes
 
 UPLOAD = b"x" * 360_000
+# What refers to the body of a request or an answer.
+KEPT_TYPES = (messages.Call, messages.Reply, http.Request, http.Response)
 LIMITS = {"maxBodyBytes": 64 << 20}
 
 
@@ -170,6 +174,26 @@
             pass
         self.assertLess(time.monotonic() - started_at, streams.LINGER_SECONDS)
 
+    def test_no_body_outlives_its_call(self):
+        """Reference cycles kept bodies until the garbage collector ran.
+
+        91 MB for eight uploads of 360 KB at a time.
+        """
+        self.upload("/far/1")
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        for name in self.backend_servers:
+            for number in range(5):
+                self.assertEqual(self.upload(f"/{name}/{number}")[0], 200)
+        time.sleep(0.2)
+        gc.set_debug(gc.DEBUG_SAVEALL)
+        self.addCleanup(gc.garbage.clear)
+        self.addCleanup(gc.set_debug, 0)
+        gc.collect()
+        kept = [kind for kind in gc.garbage if isinstance(kind, KEPT_TYPES)]
+        self.assertEqual(kept, [])
+
     def test_requests_sent_ahead_run_side_by_side(self):
         backend_server = self.backend_servers["near"]
         backend_server.seconds = 0.3
