Choose among near instances first

Change: instances are grouped by their distance, and the choice ends with the first group that no farther one can beat.

--- a/src/jackdawlanding/decisions/selection.py
+++ b/src/jackdawlanding/decisions/selection.py
@@ -97,6 +97,8 @@
         self._random = generator or random.Random()
         self._stats = {}
         self._durations = {}
+        # The backends of each service, and the same by tier.
+        self._groups = {}
 
     def get_tier(self, failure_domain):
         """Return the :class:`Tier` of a failure domain."""
@@ -116,17 +118,37 @@
         :param exclude: names of the instances already tried.
         """
         best, best_key = None, None
-        for backend in backends:
-            if backend.is_draining or backend.instance in exclude:
-                continue
-            tier = self.get_tier(backend.failure_domain)
-            key = self._make_sort_key(
-                now, backend, kind, None if is_nested else remaining, tier
-            )
-            if best_key is None or key < best_key:
-                best, best_key = backend, key
+        for tier, group in self._list_groups(backends):
+            for backend in group:
+                if backend.is_draining or backend.instance in exclude:
+                    continue
+                key = self._make_sort_key(
+                    now, backend, kind, None if is_nested else remaining, tier
+                )
+                if best_key is None or key < best_key:
+                    best, best_key = backend, key
+            if best is not None and _is_final(best_key, tier, is_nested):
+                break
         return best
 
+    def _list_groups(self, backends):
+        """Return pairs of a tier and its backends, nearest first.
+
+        They are kept for each service until its backends change.
+        """
+        if not backends:
+            return ()
+        service = backends[0].service
+        known, groups = self._groups.get(service, ((), ()))
+        if known is not backends:
+            by_tier = {}
+            for backend in backends:
+                tier = self.get_tier(backend.failure_domain)
+                by_tier.setdefault(tier, []).append(backend)
+            groups = sorted(by_tier.items())
+            self._groups[service] = (backends, groups)
+        return groups
+
     def _make_sort_key(self, now, backend, kind, remaining, tier):
         """Return the sort key of a candidate, best first.
 
@@ -252,6 +274,16 @@
         return stats.outstanding
 
 
+def _is_final(key, tier, is_nested):
+    """Return whether no instance of a farther tier can have a better sort key.
+
+    The class of an instance is at least the order of its tier, and 0 only in the
+    local failure domain.
+    """
+    is_avoided, class_index, *_ = key
+    return not is_avoided and class_index <= (0 if is_nested else tier.order)
+
+
 def _classify(tier, share):
     """Return the index in ``CLASSES`` of an instance.
 
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -3,6 +3,9 @@
 import random
 import unittest
 
+import hypothesis
+from hypothesis import strategies
+
 from jackdawlanding.decisions import directory, selection
 from jackdawlanding.mesh import messages
 
@@ -108,5 +111,82 @@
         self.assertEqual(self.choose(exclude=("i-2", "i-3")), None)
 
 
+LOADS = strategies.tuples(
+    strategies.integers(0, 30),  # running
+    strategies.integers(0, 10),  # queued
+    strategies.sampled_from([0.01, 0.1, 0.4]),  # mean seconds
+    strategies.sampled_from([None, 0.02, 0.2, 0.9]),  # duration of an answer
+    strategies.booleans(),  # whether it failed
+    strategies.booleans(),  # whether it is avoided
+    strategies.booleans(),  # whether it is draining
+)
+
+
+class AllInstancesTest(unittest.TestCase):
+    """A choice that looks at near instances first is the best of all instances."""
+
+    @hypothesis.settings(max_examples=300, derandomize=True)
+    @hypothesis.given(
+        loads=strategies.lists(LOADS, min_size=1, max_size=9),
+        remaining=strategies.sampled_from([0.05, 0.3, 2.0]),
+        is_nested=strategies.booleans(),
+        excluded=strategies.integers(0, 9),
+    )
+    def test_no_other_instance_is_better(self, loads, remaining, is_nested, excluded):
+        selector = selection.Selector(
+            region="a", failure_domain="a1", regions=REGIONS, generator=random.Random(1)
+        )
+        backends = []
+        domains = sorted(REGIONS)
+        for number, load in enumerate(loads):
+            running, queued, seconds, duration, failed, avoided, draining = load
+            backend = make_backend(
+                f"i-{number}", domains[number % 3], is_draining=draining
+            )
+            backends.append(backend)
+            name = backend.instance
+            selector.record_sent(name)
+            if duration is not None:
+                selector.record_success(
+                    now=0.0, instance=name, kind="r", seconds=duration
+                )
+            if failed:
+                selector.record_failure(now=0.0, instance=name)
+            if avoided:
+                selector.avoid(now=0.0, instance=name)
+            selector.record_end(
+                now=0.0, instance=name, load=make_load(running, queued, seconds)
+            )
+        backends = tuple(backends)
+        exclude = {f"i-{excluded}"}
+
+        def make_key(backend):
+            return selector._make_sort_key(
+                0.1,
+                backend,
+                "r",
+                None if is_nested else remaining,
+                selector.get_tier(backend.failure_domain),
+            )[:3]
+
+        chosen = selector.choose(
+            now=0.1,
+            backends=backends,
+            kind="r",
+            remaining=remaining,
+            is_nested=is_nested,
+            exclude=exclude,
+        )
+        keys = [
+            make_key(backend)
+            for backend in backends
+            if not backend.is_draining and backend.instance not in exclude
+        ]
+        if chosen is None:
+            self.assertEqual(keys, [])
+        else:
+            self.assertEqual(make_key(chosen), min(keys))
+
+
 if __name__ == "__main__":
     unittest.main()
