Index the headers of a message once, and notice the leave behind a long request

The headers were searched again for each name that was looked up. Reading paused while a request of over 1 MB was served, so that its caller's end went unseen; it pauses only where others wait behind it. The test of the latter failed first.

--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -127,10 +127,12 @@
             and self._server.buffered_bytes > MAXIMUM_BUFFERED_BYTES
         ):
             self._refusal = BUFFERS_FULL
+        # While one request alone is served, its caller's leave must be noticed.
+        is_full = len(self._entries) > 1 and queued > MAXIMUM_QUEUED_BYTES
         if (
             self._refusal is not None
+            or is_full
             or len(self._entries) > MAXIMUM_PIPELINED
-            or queued > MAXIMUM_QUEUED_BYTES
         ):
             self.stream.pause()
         else:
--- a/src/jackdawlanding/mesh/dispatcher.py
+++ b/src/jackdawlanding/mesh/dispatcher.py
@@ -24,14 +24,12 @@
 # shorter than any work.
 MINIMUM_REMAINING_SECONDS = 0.02
 
-# The executor sets these headers itself; a caller's values are not forwarded.
-_REPLACED_HEADERS = frozenset(
-    {
-        headers.DEADLINE.lower(),
-        headers.CALLER.lower(),
-        headers.EXPECTED_INSTANCE.lower(),
-    }
-)
+# Headers that are not forwarded; the executor sets the last ones itself.
+_DROPPED_HEADERS = http.HOP_BY_HOP_HEADERS | {
+    headers.DEADLINE.lower(),
+    headers.CALLER.lower(),
+    headers.EXPECTED_INSTANCE.lower(),
+}
 
 
 class Dispatcher:
@@ -179,9 +177,10 @@
     def _make_call(self, exchange, now):
         request, route = exchange.request, exchange.route
         flat_headers = []
-        for name, value in http.remove_hop_by_hop_headers(request.headers):
-            if name.lower() not in _REPLACED_HEADERS:
-                flat_headers += (name, value)
+        for pair in http.remove_hop_by_hop_headers(
+            request.headers, index=request.index, dropped=_DROPPED_HEADERS
+        ):
+            flat_headers += pair
         return messages.Call(
             number=exchange.number,
             instance=exchange.backend.instance,
--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -298,7 +298,9 @@
             )
         flat_headers = []
         if response is not None:
-            for pair in http.remove_hop_by_hop_headers(response.headers):
+            for pair in http.remove_hop_by_hop_headers(
+                response.headers, index=response.index
+            ):
                 flat_headers += pair
         respond(
             messages.Reply(
--- a/src/jackdawlanding/wire/http.py
+++ b/src/jackdawlanding/wire/http.py
@@ -20,6 +20,7 @@
         b"upgrade",
     }
 )
+_FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 NO_BODY_STATUSES = frozenset({204, 304})
 _PHRASES = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 
@@ -29,6 +30,8 @@
 
     :param name: the header's name in lower case.
     """
+    if message.index is not None:
+        return message.index.get(name, b"")
     for key, value in message.headers:
         if key.lower() == name:
             return value
@@ -39,7 +42,8 @@
     """A complete request; ``headers`` holds pairs of bytes as received.
 
     ``peer`` is the sender's IP address; the reader leaves it empty, and the code
-    that accepted the connection may set it.
+    that accepted the connection may set it. ``index`` maps the lower-case names of
+    headers to their first values; ``None`` if it was not made.
     """
 
     method: str
@@ -49,6 +53,7 @@
     has_body: bool
     keep_alive: bool
     peer: str = ""
+    index: dict | None = None
 
     get_header = _get_header
 
@@ -58,11 +63,16 @@
 
 
 class Response(typing.NamedTuple):
-    """A complete response; ``headers`` holds pairs of bytes."""
+    """A complete response; ``headers`` holds pairs of bytes.
+
+    ``index`` maps the lower-case names of headers to their first values; ``None`` if
+    it was not made.
+    """
 
     status: int
     headers: tuple = ()
     body: bytes = b""
+    index: dict | None = None
 
     get_header = _get_header
 
@@ -143,8 +153,13 @@
             self._stalled_size += len(data)
             self._check_head_size(self._stalled_size)
 
+    def _make_index(self):
+        """Index the headers by lower-case name; the first of several counts."""
+        self._index = {name.lower(): value for name, value in reversed(self._headers)}
+
     def _reset(self):
         self._headers = []
+        self._index = {}
         self._chunks = []
         self._head_size = 0
         self._body_size = 0
@@ -196,20 +211,21 @@
     def on_headers_complete(self):
         """Check the declared length of the body; called by httptools."""
         self.has_head = self._has_progressed = True
-        for name, value in self._headers:
-            if name.lower() == b"content-length":
-                self._check_body_size(int(value))
+        self._make_index()
+        if b"content-length" in self._index:
+            self._check_body_size(int(self._index[b"content-length"]))
 
     def on_message_complete(self):
         """Append the complete request to ``ready``; called by httptools."""
-        names = {name.lower() for name, _ in self._headers}
+        index = self._index
         request = Request(
             method=self._parser.get_method().decode("latin-1"),
             target=self._url.decode("latin-1"),
             headers=tuple(self._headers),
             body=b"".join(self._chunks),
-            has_body=b"content-length" in names or b"transfer-encoding" in names,
+            has_body=b"content-length" in index or b"transfer-encoding" in index,
             keep_alive=self._parser.should_keep_alive(),
+            index=index,
         )
         self._reset()
         self.ready.append(request)
@@ -280,12 +296,12 @@
         super().on_header(name, value)
         if len(self._headers) > MAXIMUM_RESPONSE_HEADERS:
             raise ResponseError(f"there are over {MAXIMUM_RESPONSE_HEADERS} headers")
-        if name.lower() in (b"content-length", b"transfer-encoding"):
-            self._is_framed = True
 
     def on_headers_complete(self):
         """Record the end of the head, which completes a response to HEAD."""
         self._has_progressed = True
+        self._make_index()
+        self._is_framed = not _FRAMING_HEADERS.isdisjoint(self._index)
         self._has_head = self._parser.get_status_code() >= 200
         if self._has_head and self._is_head:
             self._complete(keep_alive=self._parser.should_keep_alive())
@@ -318,6 +334,7 @@
                 status=self._parser.get_status_code(),
                 headers=tuple(self._headers),
                 body=b"".join(self._chunks),
+                index=self._index,
             )
         )
         self._reset()
@@ -331,23 +348,26 @@
             raise ResponseError(f"the body is over {self._limits.body_bytes} bytes")
 
 
-def remove_hop_by_hop_headers(headers):
+def remove_hop_by_hop_headers(headers, *, index=None, dropped=HOP_BY_HOP_HEADERS):
     """Return the headers that are meant for the final recipient.
 
-    Leaves out ``HOP_BY_HOP_HEADERS`` and those that ``Connection`` names.
+    :param index: the index of the message's headers, if it was made.
+    :param dropped: lower-case names that are left out, beside those that
+        ``Connection`` names.
     """
-    connection_options = set()
-    for name, value in headers:
-        if name.lower() == b"connection":
-            connection_options.update(
-                option.strip().lower() for option in value.split(b",")
-            )
-    return [
-        (name, value)
+    if index is None or b"connection" in index:
+        dropped = dropped | _list_connection_options(headers)
+    return [(name, value) for name, value in headers if name.lower() not in dropped]
+
+
+def _list_connection_options(headers):
+    """Return the lower-case names in all ``Connection`` headers."""
+    return {
+        option.strip().lower()
         for name, value in headers
-        if name.lower() not in HOP_BY_HOP_HEADERS
-        and name.lower() not in connection_options
-    ]
+        if name.lower() == b"connection"
+        for option in value.split(b",")
+    }
 
 
 def format_request(*, method, target, headers, body, has_body):
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -180,6 +180,18 @@
         self.serving.stream.drain()
         self.assertEqual(self.serving.server.busy_count, 0)
 
+    def test_the_leave_of_a_caller_is_noticed_while_its_long_request_is_served(self):
+        """Reading had paused because the request was long, so its end went unseen."""
+        self.serving.server._get_limits = lambda: LIMITS._replace(body_bytes=4 << 20)
+        self.serving.stream.close()
+        stream = self.serving.stream = FakeStream()
+        self.serving.server.accept(stream, "10.0.0.1")
+        body = bytes(callers.MAXIMUM_QUEUED_BYTES + 1)
+        self.serving.send(0, kind="unsafe", body=body)
+        self.assertFalse(stream.is_paused)
+        self.serving.send(1, kind="unsafe", body=body)
+        self.assertTrue(stream.is_paused)
+
     def test_large_requests_beyond_the_buffers_are_refused_as_not_run(self):
         """Many uploads at once filled the daemon's memory."""
         server = self.serving.server
