Let work that must not run twice go on while its caller's daemon is silent

The executing daemon cancelled all calls of a lost link after 1.5 s; a daemon frozen for longer came back to calls that were neither finished nor answered (502). Change: only safe calls are cancelled then; the others go on to their end, and their replies are kept to be asked for. What they cost if the caller is gone for good is the rest of their run, bounded by their deadline.

--- a/src/jackdawlanding/mesh/serving.py
+++ b/src/jackdawlanding/mesh/serving.py
@@ -11,8 +11,9 @@
 # Replies to calls that must not run twice are kept until they are acknowledged, but
 # no longer than this: a calling daemon tries for less time to reach a silent host.
 REPLY_RETENTION_SECONDS = 5.0
-# Calls of a lost link continue for this long: a calling daemon that still runs opens
-# a new link within a second.
+# Safe calls of a lost link continue for this long: a calling daemon that still runs
+# opens a new link within a second. The others continue to their end, since a daemon
+# that is only silent for longer asks for their replies later.
 ORPHAN_GRACE_SECONDS = 1.5
 # Longer than any caller waits for a response.
 DROPPED_RETENTION_SECONDS = 600.0
@@ -121,7 +122,7 @@
             handler(link, message)
 
     def on_link_lost(self, link):
-        """Let the calls of a lost link continue for a while, then cancel them."""
+        """Let the safe calls of a lost link continue for a while, then cancel them."""
         if link.hello and self._links.get(link.hello.incarnation) is link:
             self._loop.call_later(
                 ORPHAN_GRACE_SECONDS, lambda: self._cancel_orphans(link)
@@ -145,9 +146,9 @@
         if previous is not None and previous is not link:
             # A call that arrives late on the previous link must not start.
             previous.stream.close()
-            for key, served in self._served.items():
-                if key[0] == hello.incarnation:
-                    served.link = link
+        for key, served in self._served.items():
+            if key[0] == hello.incarnation:
+                served.link = link
         link.send(self._welcome)
         if self._is_in_other_region(hello.failure_domain):
             link.enable_compression()
@@ -209,8 +210,7 @@
         del self._links[incarnation]
         self._dropped_at[incarnation] = time.monotonic()
         for key, served in list(self._served.items()):
-            if key[0] != incarnation:
-                continue
-            del self._served[key]
-            if served.execution:
-                self._executor.cancel(served.execution)
+            if key[0] == incarnation and served.is_safe:
+                del self._served[key]
+                if served.execution:
+                    self._executor.cancel(served.execution)
