--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -8,6 +8,7 @@
 import logging
 import time
 
+from jackdawlanding.mesh import responses
 from jackdawlanding.wire import http
 
 logger = logging.getLogger("jackdaw.callers")
@@ -23,10 +24,10 @@
 MAXIMUM_UNSENT_BYTES = 1 << 18
 # All requests that are received or served at a time.
 MAXIMUM_BUFFERED_BYTES = 32 << 20
-BUFFERS_FULL = http.make_text_response(
-    503,
-    "too many large requests are being served",
-    headers=((b"Retry-After", b"1"),),
+# The Retry-After value of a request beyond that: some others have ended by then.
+BUFFERS_RETRY_SECONDS = 1.0
+BUFFERS_FULL = responses.make_refusal(
+    "too many large requests are being served", seconds=BUFFERS_RETRY_SECONDS
 )
 TOO_SLOW = http.make_text_response(408, "it came too slowly")
 
@@ -59,6 +60,8 @@
         self._entries = collections.deque()
         # How many of the entries are being served: the first ones.
         self._started = 0
+        # Bytes of the entries' bodies, and these with the partial request's.
+        self._queued_bytes = 0
         self._buffered = 0
         # The response to what can't be served, which ends the connection.
         self._refusal = None
@@ -112,13 +115,13 @@
         ready, self._reader.ready = self._reader.ready, []
         for request in ready:
             self._entries.append(_Entry(request=request, received_at=now))
+            self._queued_bytes += len(request.body)
         self._limit_buffers()
         self._advance()
 
     def _limit_buffers(self):
         """Count the buffered bytes; refuse a partial request that is too much."""
-        queued = sum(len(entry.request.body) for entry in self._entries)
-        buffered = queued + self._reader.body_bytes
+        buffered = self._queued_bytes + self._reader.body_bytes
         self._server.buffered_bytes += buffered - self._buffered
         self._buffered = buffered
         if (
@@ -128,7 +131,7 @@
         ):
             self._refusal = BUFFERS_FULL
         # While one request alone is served, its caller's leave must be noticed.
-        is_full = len(self._entries) > 1 and queued > MAXIMUM_QUEUED_BYTES
+        is_full = len(self._entries) > 1 and self._queued_bytes > MAXIMUM_QUEUED_BYTES
         if (
             self._refusal is not None
             or is_full
@@ -160,6 +163,7 @@
             return False
         request = self._entries.popleft().request
         self._started -= 1
+        self._queued_bytes -= len(request.body)
         self.waiting_since = time.monotonic()
         is_last = self._server.is_shutting_down and not self._started
         keep_alive = request.keep_alive and not is_last
@@ -238,7 +242,7 @@
         entries, self._entries = self._entries, collections.deque()
         self._started = 0
         self._server.buffered_bytes -= self._buffered
-        self._buffered = 0
+        self._queued_bytes = self._buffered = 0
         for entry in entries:
             if entry.active is not None:
                 entry.active.cancel()
