Read on after a send error only where an answer may be waiting

Cause: the reading that delivers early answers would also have served requests of a caller whose connection was reset. It is now asked for by connections to backend servers and by links alone. Tests: tests/test_streams; the second one failed first.

--- a/src/jackdawlanding/mesh/backends.py
+++ b/src/jackdawlanding/mesh/backends.py
@@ -54,6 +54,7 @@
         self.reader = http.ResponseReader()
         self.was_opened = False
         self._stray_count = 0
+        stream.reads_after_error = True
         stream.on_open = self._on_open
         stream.on_data = self._on_data
         stream.on_closed = self._on_closed
--- a/src/jackdawlanding/mesh/links.py
+++ b/src/jackdawlanding/mesh/links.py
@@ -170,6 +170,7 @@
         self._opened_at = self._last_received_at = time.monotonic()
         self._pinged_at = 0.0
         self._stream = streams.connect(loop=self._loop, address=self.address)
+        self._stream.reads_after_error = True
         self._stream.on_open = self._on_open
         self._stream.on_data = self._on_data
         self._stream.on_closed = lambda was_reset: self._handle_loss("closed")
--- a/src/jackdawlanding/mesh/streams.py
+++ b/src/jackdawlanding/mesh/streams.py
@@ -30,6 +30,9 @@
     :param loop: the :class:`eventloop.EventLoop`.
     :param sock: a connected or connecting socket.
     :param is_connecting: whether the socket is still connecting.
+
+    Set ``reads_after_error`` where data that the peer sent before it stopped reading
+    matters, such as an early answer.
     """
 
     __slots__ = (
@@ -44,6 +47,7 @@
         "on_data",
         "on_drained",
         "on_open",
+        "reads_after_error",
         "sock",
     )
 
@@ -55,6 +59,7 @@
         self._closes_when_flushed = False
         self._is_paused = False
         self._lingers = False
+        self.reads_after_error = False
         self.is_closed = False
         self.on_open = None
         self.on_data = None
@@ -155,7 +160,8 @@
             except BlockingIOError:
                 return
             except OSError:
-                self._read_rest()
+                if self.reads_after_error:
+                    self._read_rest()
                 self.close_and_notify(was_reset=True)
                 return
             del self._unsent[:sent]
@@ -189,10 +195,7 @@
         )
 
     def _read_rest(self):
-        """Read what the peer sent before it stopped reading, such as an early answer.
-
-        Only data that has arrived is read, and only as much as fits some buffers.
-        """
+        """Read what has arrived, but only as much as fits some buffers."""
         for _ in range(READS_AFTER_ERROR):
             if self.is_closed or not self._read_once():
                 return
