--- a/src/jackdawlanding/decisions/directory.py
+++ b/src/jackdawlanding/decisions/directory.py
@@ -212,14 +212,12 @@
         if record.backend is None:
             self._removed[instance] = record.stored_at
         before = known.backend if known else None
-        addresses = {
-            _get_address(backend) for backend in (before, record.backend) if backend
-        }
-        if before is not None:
+        if _get_host(before) != _get_host(record.backend):
             self._remove_from_host(instance, before)
-        if record.backend is not None:
             self._add_to_host(instance, record.backend)
-        for address in addresses:
+        for address in {
+            _get_address(backend) for backend in (before, record.backend) if backend
+        }:
             self._choose_newest(address)
 
     def _remove_revision(self, instance, record):
@@ -236,12 +234,16 @@
             self._remove_revision(name, self._records.pop(name))
 
     def _add_to_host(self, instance, backend):
+        if backend is None:
+            return
         instances = self._instances_by_host.get(backend.host, ())
         if not instances:
             self.hosts.add(backend.host)
         self._instances_by_host[backend.host] = (*instances, instance)
 
     def _remove_from_host(self, instance, backend):
+        if backend is None:
+            return
         instances = list(self._instances_by_host.pop(backend.host))
         instances.remove(instance)
         if instances:
@@ -274,6 +276,10 @@
             self._by_service[after.service] = (*others, after)
 
 
+def _get_host(backend):
+    return backend and backend.host
+
+
 def _get_address(backend):
     return backend.host, backend.port
 
