Take only IPv4 addresses and keys that can be sent from the store

Cause: an entry of another writer with a host name made the daemon look it up, which blocks its loop, an empty host led to the daemon's own machine, and the removal of a key with a lone surrogate could not be sent to any peer. The tests failed first.

--- a/src/jackdawlanding/platform/documents.py
+++ b/src/jackdawlanding/platform/documents.py
@@ -4,6 +4,7 @@
 import binascii
 import json
 import math
+import socket
 import typing
 
 from jackdawlanding.decisions import directory, routes
@@ -73,7 +74,9 @@
             value = base64.b64decode(entry["value"], validate=True)
         except (binascii.Error, TypeError, ValueError):
             value = b""
-    return Item(key=str(entry["key"]), revision=int(entry["revision"]), value=value)
+    # A peer can't be sent a key with lone surrogates.
+    key = str(entry["key"]).encode(errors="replace").decode()
+    return Item(key=key, revision=int(entry["revision"]), value=value)
 
 
 def decode_configuration(data):
@@ -183,7 +186,7 @@
         return directory.Backend(
             instance=_check_text(key.removeprefix(BACKEND_PREFIX)),
             service=_check_text(entry["service"]),
-            host=_check_text(host),
+            host=_check_host(host),
             port=int(port),
             failure_domain=_check_text(entry["zone"]),
             slots=entry["maxConcurrency"],
@@ -214,6 +217,15 @@
     return value
 
 
+def _check_host(host):
+    """Return an IPv4 address; connecting to a name would block on its lookup."""
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except OSError:
+        raise DocumentError(f"{host!r} is not an IPv4 address") from None
+    return host
+
+
 def _to_seconds(millis):
     if (
         isinstance(millis, bool)
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -53,6 +53,9 @@
             {"warmupRemainingMs": float("nan")},
             {"address": "10.0.0.9:99999"},
             {"address": "10.0.0.9:0"},
+            {"address": ":80"},
+            {"address": "server.example:80"},
+            {"address": "10.0.0.999:80"},
             {"address": "\ud800:80"},
             {"service": "\ud800"},
             {"maxConcurrency": 10**30},
@@ -156,6 +159,12 @@
         page = documents.decode_page(encode({"events": [removed], "at": 9}))
         self.assertIsNone(page.items[0].value)
 
+    def test_a_key_can_be_sent_to_a_peer(self):
+        """A removal under a key with a lone surrogate stopped all updates."""
+        item = {"key": "servers/\ud800", "revision": 6, "removed": True}
+        page = documents.decode_page(encode({"events": [item], "at": 9}))
+        self.assertEqual(page.items[0].key.encode(), b"servers/?")
+
     def test_a_value_that_is_not_base64_is_empty(self):
         item = {"key": "a", "value": "&&&", "revision": 4}
         page = documents.decode_page(encode({"items": [item], "at": 9}))
