--- a/bench/latencies.py
+++ b/bench/latencies.py
@@ -192,7 +192,8 @@
         data = sock.recv(65536)
         if not data:
             raise ConnectionError(
-                "the connection closed before the answer's end; is the server running?"
+                "the connection closed before the answer's end; is the server running? "
+                f"It began with {answer[:40]!r}."
             )
         answer += data
 
--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -55,8 +55,14 @@
             "op/config",
             configurations.make(1, *routes, services=SERVICES, limits=LIMITS),
         )
-        for index, service in enumerate(SERVICES):
-            self._start(service, f"127.0.1.{index + 1}")
+        hosts = {
+            service: f"127.0.1.{index + 1}" for index, service in enumerate(SERVICES)
+        }
+        for service, host in hosts.items():
+            self._start_backend(service, host)
+        # A daemon that is ready then knows both backend servers.
+        for service, host in hosts.items():
+            self._start_daemon(service, host)
         for host, ports in self.daemons.values():
             self._wait_until_ready(host, ports["readiness"])
 
@@ -84,10 +90,16 @@
             latencies.Path("two daemons", front[1]["outbound"], front[0], **request),
         )
 
-    def _start(self, service, host):
+    def _start_backend(self, service, host):
         backend = (host, meshes.find_free_port(host))
         self.backends[service] = backend
         self._run("-m", *self._make_backend_command(host, str(backend[1])))
+        entry = backendservers.make_entry(
+            service=service, address="{}:{}".format(*backend), slots=self._slots
+        )
+        self.store.put(f"servers/i-{service}", entry)
+
+    def _start_daemon(self, service, host):
         port_names = ("outbound", "readiness", "metrics")
         ports = {name: meshes.find_free_port(host) for name in port_names}
         self.daemons[service] = (host, ports)
@@ -95,10 +107,6 @@
         path.write_text(json.dumps(self._make_settings(service, host, ports)))
         environment = {mesh_settings.FILE_VARIABLE: str(path)}
         self.pids[service] = self._run("-OO", "-c", DAEMON, **environment)
-        entry = backendservers.make_entry(
-            service=service, address="{}:{}".format(*backend), slots=self._slots
-        )
-        self.store.put(f"servers/i-{service}", entry)
 
     def _make_backend_command(self, host, port):
         if not self._service_seconds:
