Log and count what backend servers say of themselves

Cause: neither a log line nor a metric told whether a backend server had named a limit, so that 'nobody reads it', 'it is forgotten at a restart' and 'choices do not see it' could not be told apart. A response without a rate lifts the limit only if its request was sent after the limit became known; a misdirected response belongs to another server.

--- /dev/null
+++ b/src/jackdawlanding/decisions/notices.py
@@ -0,0 +1,131 @@
+"""What backend servers say of themselves in their answers.
+
+A backend server in need names the rate of requests that it takes, and one that is
+leaving says so. The daemon beside it hears this first; the others learn it from
+replies. A daemon that restarts knows nothing of it until the first answer, unless
+a call tells it.
+"""
+
+import typing
+
+# How long a notice is kept for an instance that is in no directory any more: longer
+# than a leaving backend server runs on.
+RETENTION_SECONDS = 600.0
+
+
+class Notice(typing.NamedTuple):
+    """What one answer says of its backend server.
+
+    ``rate`` is how many requests a second it takes from all daemons together,
+    ``None`` if it names no limit.
+    """
+
+    rate: float | None = None
+    is_leaving: bool = False
+
+
+EMPTY = Notice()
+
+
+class LocalNotice:
+    """The notice in force at the local backend server.
+
+    ``current`` is ``None`` until an answer or a call tells it.
+    """
+
+    def __init__(self):
+        self.reset()
+
+    def reset(self):
+        """Forget everything: another backend server has started."""
+        self.current = None
+        self._has_answered = False
+        self._named_at = float("-inf")
+
+    @property
+    def is_leaving(self):
+        """Whether the backend server said that it is leaving."""
+        return self.current is not None and self.current.is_leaving
+
+    def record_answer(self, *, now, sent_at, notice, is_complete):
+        """Merge the notice of an answer; return whether the current one changed.
+
+        An answer without a rate lifts the limit only if its request was sent after
+        the limit became known: answers of different connections arrive in any order.
+
+        :param sent_at: when the request was sent.
+        :param is_complete: whether the answer is valid and complete. Others may lack
+            headers.
+        """
+        known = self.current or EMPTY
+        rate = notice.rate
+        if rate is not None:
+            self._named_at = now
+        elif not is_complete or sent_at <= self._named_at:
+            rate = known.rate
+        if is_complete:
+            self._has_answered = True
+        merged = Notice(rate=rate, is_leaving=known.is_leaving or notice.is_leaving)
+        if is_complete or merged != EMPTY:
+            self.current = merged
+        return merged != known
+
+    def adopt(self, *, now, notice):
+        """Adopt what a call tells until an answer does; return whether it is new."""
+        if self._has_answered or self.current is not None:
+            return False
+        self.current = notice
+        self._named_at = now
+        return True
+
+
+class _Heard(typing.NamedTuple):
+    """A notice of the backend server of an instance that started at ``born``."""
+
+    notice: Notice
+    born: int
+    at: float
+
+
+class RemoteNotices:
+    """The notices that replies carried, by instance.
+
+    ``leaving`` holds the names of the instances that are leaving. A notice ends with
+    the backend server that gave it: an instance may start again under its name.
+    """
+
+    def __init__(self):
+        self.leaving = frozenset()
+        self._heard = {}
+
+    def get(self, instance):
+        """Return the notice of an instance, ``None`` if there is none."""
+        heard = self._heard.get(instance)
+        return heard and heard.notice
+
+    def record(self, *, now, instance, born, notice):
+        """Store a notice; an empty one removes that of the instance."""
+        if notice == EMPTY:
+            self._heard.pop(instance, None)
+        else:
+            self._heard[instance] = _Heard(notice=notice, born=born, at=now)
+        self._update_leaving()
+
+    def apply_directory(self, *, now, directory):
+        """Drop the notices of backend servers that have ended."""
+        for instance, heard in list(self._heard.items()):
+            backend = directory.get(instance)
+            if backend is None:
+                is_over = now - heard.at > RETENTION_SECONDS
+            else:
+                is_over = backend.born != heard.born
+            if is_over:
+                del self._heard[instance]
+        self._update_leaving()
+
+    def _update_leaving(self):
+        self.leaving = frozenset(
+            instance
+            for instance, heard in self._heard.items()
+            if heard.notice.is_leaving
+        )
--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -8,7 +8,7 @@
 import socket
 import time
 
-from jackdawlanding.decisions import routes
+from jackdawlanding.decisions import notices, routes
 from jackdawlanding.mesh import (
     callers,
     dispatcher,
@@ -245,12 +245,15 @@
         return http.make_text_response(200, "ready")
 
     def _make_metrics(self):
+        notice = self.executor.notice.current or notices.EMPTY
         gauges = {
             "connections": self.caller_server.connection_count,
             "requests_in_flight": self.dispatcher.in_flight,
             "host_running": self.executor.controller.running,
             "host_queued": self.executor.controller.queued,
             "host_limit": self.executor.controller.limit,
+            "host_rate_limit": notice.rate or 0.0,
+            "host_is_leaving": int(notice.is_leaving),
             "host_paced_kinds": len(self.executor.pacing_limits.list_limits()),
             "configuration_version": self.fleet_state.configuration_version,
             "directory_revision": self.fleet_state.directory.complete_revision,
--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -7,9 +7,9 @@
 import logging
 import time
 
-from jackdawlanding.decisions import pacing, slots
+from jackdawlanding.decisions import notices, pacing, slots
 from jackdawlanding.mesh import backends, classification, messages, streams
-from jackdawlanding.platform import headers
+from jackdawlanding.platform import answers, headers
 from jackdawlanding.wire import http
 
 logger = logging.getLogger("jackdaw.host")
@@ -79,6 +79,7 @@
         self._pool = backends.BackendPool(loop=loop, address=address)
         self.controller = slots.SlotController(slots=1)
         self.pacing_limits = pacing.PacingLimits()
+        self.notice = notices.LocalNotice()
         self.is_backend_up = True
         self.is_shutting_down = False
         self._running = {}
@@ -230,11 +231,13 @@
         )
         self._running[call.request_id] = execution
         self.pacing_limits.get(call.route).begin()
+        self._metrics.count("host_arrivals")
         self._pool.send(execution.attempt, needs_recent=not call.is_safe)
 
     def _finish(self, execution, result):
         now = time.monotonic()
         outcome, arrived, reason = classification.classify(result)
+        self._record_notice(now, execution, outcome, result.response)
         self._release(execution, is_success=outcome is classification.DONE)
         if reason == "unreachable":
             self._mark_down()
@@ -245,6 +248,36 @@
         self._reply(execution, outcome, arrived, reason, result.response)
         self._run_next()
 
+    def _record_notice(self, now, execution, outcome, response):
+        """Record what a response says of the backend server.
+
+        A misdirected request was answered by another one.
+        """
+        if response is None or outcome is classification.UNKNOWN:
+            return
+        if response.status == classification.MISDIRECTED_STATUS:
+            return
+        has_changed = self.notice.record_answer(
+            now=now,
+            sent_at=execution.job.admitted_at,
+            notice=answers.decode_notice(response),
+            is_complete=outcome is classification.DONE,
+        )
+        if has_changed:
+            self._log_notice("answer")
+
+    def _log_notice(self, source):
+        self._log.note(
+            "host",
+            "The backend server's notice changed.",
+            rate=self.notice.current.rate,
+            leaving=self.notice.current.is_leaving,
+            source=source,
+            arrivals=self._metrics.get("host_arrivals"),
+            running=self.controller.running,
+            queued=self.controller.queued,
+        )
+
     def _release(self, execution, *, is_success):
         if self._running.get(execution.call.request_id) is execution:
             del self._running[execution.call.request_id]
--- a/src/jackdawlanding/platform/headers.py
+++ b/src/jackdawlanding/platform/headers.py
@@ -8,3 +8,7 @@
 SIGNATURE = b"X-Server-Signature"
 NOT_EXECUTED = b"X-Not-Executed"
 RETRY_AFTER = b"Retry-After"
+# The requests a second that a backend server takes from all daemons together.
+SERVER_LIMIT = b"Server-Limit"
+# "1" in the answers of a backend server that is leaving.
+SERVER_LEAVING = b"Server-Leaving"
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -27,6 +27,8 @@
     "X-Expected-Instance",
     "X-Server-Signature",
     "X-Not-Executed",
+    "Server-Limit",
+    "Server-Leaving",
     "kv-watch",
     "kv-range",
     "kv-key",
