--- a/tests/backendservers.py
+++ b/tests/backendservers.py
@@ -30,7 +30,8 @@
 
     ``behaviours`` maps a path to a key of ``_BEHAVIOURS`` or ``"shed"``, or to a list
     of them, of which each request takes the first. ``runs`` holds the ids of requests
-    that ran, ``seconds`` is how long each takes.
+    that ran, ``seconds`` is how long each takes. ``notice`` holds headers of all
+    answers, ``arrivals`` when each request arrived, in ``time.monotonic()`` seconds.
     """
 
     def __init__(self, *, service, instance, slots=4, host="127.0.0.1"):
@@ -45,6 +46,8 @@
         self.cancelled = 0
         self.behaviours = {}
         self.seconds = 0.0
+        self.notice = {}
+        self.arrivals = []
         self.connections = []
         self.lock = threading.Lock()
         self._serve()
@@ -109,6 +112,7 @@
         body = handler.rfile.read(length)
         request_id = handler.headers.get("X-Request-Id")
         with self.lock:
+            self.arrivals.append(time.monotonic())
             self.seen.append(
                 (request_id, dict(handler.headers), handler.path, handler.command, body)
             )
@@ -120,7 +124,7 @@
             return
         if behaviour == "shed":
             headers = {"X-Request-Id": request_id, "X-Not-Executed": "1"}
-            servers.send(handler, 503, b"", headers)
+            servers.send(handler, 503, b"", {**headers, **self.notice})
             return
         self._run(handler, request_id, body, behaviour)
 
@@ -140,7 +144,7 @@
 
 def _answer_normally(backend_server, handler, request_id, body):
     headers = {"X-Request-Id": request_id, "X-Server-Signature": SIGNATURE}
-    servers.send(handler, 200, b"ran " + body, headers)
+    servers.send(handler, 200, b"ran " + body, {**headers, **backend_server.notice})
 
 
 def _answer_error(backend_server, handler, request_id, body):
