Start requests no faster than the rate that a backend server names

What callers saw: nothing; a backend server in need got all requests past the limit that it named. Cause: the executor, the only way in, admits by slots alone; nothing read the limit. Change: the slot controller also has a token bucket (decisions/rates.py), which starts empty. Waiting calls start by rank as tokens come, on a timer; those that the rate makes late are refused at once with the time to come back. Replies report the capacity at that rate, so that the selector sends the rest elsewhere. Why it works: one process holds the sum of all daemons, so there is nothing to share.

--- a/src/jackdawlanding/decisions/slots.py
+++ b/src/jackdawlanding/decisions/slots.py
@@ -1,16 +1,19 @@
 """Admission control for a backend server with a known number of slots.
 
 The jobs that run never exceed the slots, so that the backend server itself never
-queues. Waiting jobs are ordered by rank. Nested calls go before new work of the same
-rank, since work has already been done for them. A job that can't end in time is
-refused at once.
+queues, and start no faster than the rate that it takes, if it names one. Waiting jobs
+are ordered by rank. Nested calls go before new work of the same rank, since work has
+already been done for them. A job that can't end in time is refused at once.
 """
 
 import bisect
 import enum
 import itertools
+import math
 import typing
 
+from jackdawlanding.decisions import rates
+
 # Share of the slots that stays free, because a backend server slows down when nearly
 # all of them are in use.
 SPARE_SHARE = 0.06
@@ -85,6 +88,7 @@
 
     def __init__(self, *, slots):
         self.slots = slots
+        self.rate_limit = rates.RateLimit()
         self.running = 0
         self.mean_seconds = INITIAL_SECONDS
         self._queue = []
@@ -96,6 +100,16 @@
         """Return how many jobs may run at once."""
         return max(1, int(self.slots * (1 - SPARE_SHARE)))
 
+    @property
+    def capacity(self):
+        """Return how many jobs run at once at the limit and the rate limit.
+
+        At a steady rate this is the rate times the mean duration (Little's law).
+        """
+        if self.rate_limit.rate is None:
+            return self.limit
+        return min(self.limit, math.ceil(self.rate_limit.rate * self.mean_seconds))
+
     @property
     def queued(self):
         """Return the number of waiting jobs."""
@@ -105,31 +119,44 @@
         """Return the average seconds of a kind of job."""
         return self._durations.get(kind, self.mean_seconds)
 
-    def estimate_wait(self, ahead):
+    def estimate_wait(self, *, now, ahead):
         """Return the seconds until a job runs that has ``ahead`` others before it."""
+        delay = self.rate_limit.get_delay(now=now, ahead=ahead)
         free = self.limit - self.running
         if free > ahead:
-            return 0.0
-        return (ahead - max(0, free) + 1) * self.mean_seconds / self.limit
+            return delay
+        missing = ahead - max(0, free) + 1
+        return max(delay, missing * self.mean_seconds / self.limit)
+
+    def get_delay(self, *, now):
+        """Return the seconds until the rate limit lets the next waiting job start.
+
+        ``None`` if no job waits for that.
+        """
+        if not self._queue or self.running >= self.limit:
+            return None
+        return self.rate_limit.get_delay(now=now)
 
     def submit(self, *, now, job):
         """Decide on a new job; return an :class:`AdmissionResult`."""
         job.submitted_at = now
         job.order = (*job.order[:2], next(self._sequence))
         if now + self.get_duration(job.kind) * MINIMUM_REMAINING_SHARE >= job.deadline:
-            return self._refuse(0)
-        if self.running < self.limit and not self._queue:
+            return self._refuse(now, 0)
+        if self._has_room(now) and not self._queue:
             self._admit(now, job)
             return AdmissionResult(verdict=Verdict.ADMITTED)
         ahead = bisect.bisect(self._queue, job.order, key=lambda waiting: waiting.order)
-        if not self._may_wait(now, job, self.estimate_wait(ahead)):
-            return self._refuse(ahead)
+        if not self._may_wait(now, job, self.estimate_wait(now=now, ahead=ahead)):
+            return self._refuse(now, ahead)
         self._queue.insert(ahead, job)
         evicted = self._evict(now, ahead + 1)
         return AdmissionResult(
             verdict=Verdict.QUEUED,
             evicted=evicted,
-            retry_after=self._compute_retry_after(len(self._queue)) if evicted else 0.0,
+            retry_after=(
+                self._compute_retry_after(now, len(self._queue)) if evicted else 0.0
+            ),
         )
 
     def release(self, *, now, job, is_success):
@@ -161,7 +188,7 @@
         for job in late:
             self._queue.remove(job)
         admitted = []
-        while self._queue and self.running < self.limit:
+        while self._queue and self._has_room(now):
             job = self._queue.pop(0)
             self._admit(now, job)
             admitted.append(job)
@@ -172,9 +199,13 @@
         queue, self._queue = self._queue, []
         return queue
 
+    def _has_room(self, now):
+        return self.running < self.limit and self.rate_limit.get_delay(now=now) <= 0.0
+
     def _admit(self, now, job):
         job.admitted_at = now
         self.running += 1
+        self.rate_limit.take(now=now)
 
     def _is_late(self, now, job):
         return (
@@ -195,19 +226,17 @@
         index = position
         while index < len(self._queue):
             job = self._queue[index]
-            if (
-                now + self.estimate_wait(index) + self.get_duration(job.kind)
-                > job.deadline
-            ):
+            wait = self.estimate_wait(now=now, ahead=index)
+            if now + wait + self.get_duration(job.kind) > job.deadline:
                 evicted.append(self._queue.pop(index))
             else:
                 index += 1
         return tuple(evicted)
 
-    def _refuse(self, ahead):
+    def _refuse(self, now, ahead):
         return AdmissionResult(
-            verdict=Verdict.REFUSED, retry_after=self._compute_retry_after(ahead)
+            verdict=Verdict.REFUSED, retry_after=self._compute_retry_after(now, ahead)
         )
 
-    def _compute_retry_after(self, ahead):
-        return max(MINIMUM_RETRY_SECONDS, self.estimate_wait(ahead))
+    def _compute_retry_after(self, now, ahead):
+        return max(MINIMUM_RETRY_SECONDS, self.estimate_wait(now=now, ahead=ahead))
--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -85,6 +85,7 @@
         self._running = {}
         self._lost_calls = []
         self._is_checking_crash = False
+        self._admission_timer = None
 
     @property
     def backend(self):
@@ -132,6 +133,8 @@
             self._run(execution)
         elif result.verdict is slots.Verdict.REFUSED:
             self._refuse(execution, "full", retry_after=result.retry_after)
+        else:
+            self._schedule_admission(now)
         for job in result.evicted:
             self._refuse(job.token, "evicted", retry_after=result.retry_after)
         return execution
@@ -176,7 +179,7 @@
         return messages.Load(
             running=controller.running,
             queued=controller.queued,
-            limit=controller.limit if self.is_backend_up else 0,
+            limit=controller.capacity if self.is_backend_up else 0,
             seconds=controller.mean_seconds,
         )
 
@@ -264,6 +267,7 @@
             is_complete=outcome is classification.DONE,
         )
         if has_changed:
+            self.controller.rate_limit.set_rate(now=now, rate=self.notice.current.rate)
             self._log_notice("answer")
 
     def _log_notice(self, source):
@@ -292,11 +296,25 @@
     def _run_next(self):
         if not self.is_backend_up:
             return
-        admitted, late = self.controller.admit_next(now=time.monotonic())
+        now = time.monotonic()
+        admitted, late = self.controller.admit_next(now=now)
         for job in late:
             self._refuse(job.token, "late")
         for job in admitted:
             self._run(job.token)
+        self._schedule_admission(now)
+
+    def _schedule_admission(self, now):
+        """Admit the next waiting call as soon as the rate limit lets it start."""
+        if self._admission_timer is not None:
+            return
+        delay = self.controller.get_delay(now=now)
+        if delay is not None:
+            self._admission_timer = self._loop.call_later(delay, self._on_rate)
+
+    def _on_rate(self):
+        self._admission_timer = None
+        self._run_next()
 
     def _refuse(self, execution, reason, *, retry_after=0.0):
         self._reply(
--- a/tests/test_mesh_notices.py
+++ b/tests/test_mesh_notices.py
@@ -67,10 +67,12 @@
         with meshes.Mesh(
             services=[("desk", "a1"), ("bank", "a1")],
             routes=[configurations.make_route("look", service="bank")],
+            slots=80,
         ) as mesh:
             desk, near = mesh.members
             near.backend_server.notice = {"Server-Limit": str(LIMIT)}
-            with load(desk):
+            near.backend_server.seconds = 0.4
+            with load(desk, threads=50):
                 time.sleep(0.5)
                 since = time.monotonic()
                 near.stop()
