Tell a restarted daemon the limit of its backend server

What callers saw: nothing; around a restart of the daemon beside it, a backend server got as many requests at once as it has slots. Cause: the executor learns the limit from answers and starts empty, while the daemons that passed such answers on still send. Change: each reply carries the notice in force, each dispatcher keeps it by instance and start, and sends it with its calls; an executor that has no answer yet adopts it before it admits the call. An empty notice corrects a stale one. The field is left out where there is nothing to say, so that daemons of an earlier version understand all calls and replies but those of limited servers. Why it works: who must keep the limit is who has heard of it, and that daemon says so in the call itself.

--- a/src/jackdawlanding/mesh/codec.py
+++ b/src/jackdawlanding/mesh/codec.py
@@ -44,7 +44,7 @@
         """Return a message as bytes."""
         if self.is_compressed and type(message) in _COMPRESSED_KINDS:
             return self._encode_compressed(message)
-        return _pack((_NUMBERS[type(message)], *message))
+        return _pack(_list_values(message))
 
     def _encode_compressed(self, message):
         if self._compressor is None:
@@ -54,7 +54,7 @@
         body = getattr(message, "body", b"")
         if body:
             message = message._replace(body=b"")
-        head = _pack((_NUMBERS[type(message)], *message))
+        head = _pack(_list_values(message))
         compressed = self._compressor.compress(head)
         compressed += self._compressor.flush(zlib.Z_SYNC_FLUSH)
         return _pack((compressed, body))
@@ -120,5 +120,10 @@
         return message._replace(body=body) if body else message
 
 
+def _list_values(message):
+    fields = message if message[-1] is not None else message[:-1]
+    return (_NUMBERS[type(message)], *fields)
+
+
 def _make(values):
     return messages.KINDS[values[0]](*values[1:])
--- a/src/jackdawlanding/mesh/dispatcher.py
+++ b/src/jackdawlanding/mesh/dispatcher.py
@@ -7,7 +7,7 @@
 import logging
 import time
 
-from jackdawlanding.decisions import outcomes, selection
+from jackdawlanding.decisions import notices, outcomes, selection
 from jackdawlanding.mesh import exchanges, messages, resolver, responses, retries
 from jackdawlanding.platform import headers
 from jackdawlanding.wire import http
@@ -72,6 +72,7 @@
             metrics=metrics,
             log=log,
         )
+        self._notices = notices.RemoteNotices()
         self._is_shutting_down = False
         self.in_flight = 0
         fleet_state.subscribe(loop.coalesce(self._apply_directory))
@@ -199,6 +200,7 @@
             caller=self._settings.service,
             request_id=exchange.request_id,
             retry_probability=1.0 if exchange.arrivals else exchange.retry_probability,
+            notice=self._notices.get(exchange.backend.instance),
         )
 
     def _handle_reply(self, exchange, number, reply):
@@ -206,6 +208,13 @@
         instance = exchange.backend.instance
         load = reply.load if reply.load.limit else None
         self._selector.record_end(now=now, instance=instance, load=load)
+        if reply.notice is not None:
+            self._notices.record(
+                now=now,
+                instance=instance,
+                born=exchange.backend.born,
+                notice=notices.Notice(*reply.notice),
+            )
         if exchange.respond is None or number != exchange.number:
             return
         exchange.arrivals += bool(reply.arrived)
@@ -341,6 +350,7 @@
     def _apply_directory(self):
         directory = self._fleet_state.directory
         self._selector.retain_only(directory)
+        self._notices.apply_directory(now=time.monotonic(), directory=directory)
         self._retry_policy.set_daemon_count(len(directory))
 
 
--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -86,6 +86,8 @@
         self._lost_calls = []
         self._is_checking_crash = False
         self._admission_timer = None
+        # The instance and the start of the backend server that ``notice`` is of.
+        self._notice_source = None
 
     @property
     def backend(self):
@@ -119,6 +121,8 @@
             seconds = PACED_RETRY_SECONDS if reason == "paced" else 0.0
             self._refuse(execution, reason, retry_after=seconds)
             return execution
+        if call.notice is not None:
+            self._adopt_notice(call)
         now = time.monotonic()
         execution.job = slots.Job(
             kind=call.route,
@@ -165,6 +169,7 @@
         if backend is None:
             self._refuse_queued("gone")
             return
+        self._identify_notice(backend)
         if backend.slots != self.controller.slots:
             self.controller.slots = backend.slots
             logger.info(
@@ -267,8 +272,33 @@
             is_complete=outcome is classification.DONE,
         )
         if has_changed:
-            self.controller.rate_limit.set_rate(now=now, rate=self.notice.current.rate)
-            self._log_notice("answer")
+            self._apply_notice(now, "answer")
+
+    def _adopt_notice(self, call):
+        """Adopt the notice that a call tells, if it is of this backend server."""
+        backend = self.backend
+        if backend is not None and backend.instance != call.instance:
+            return
+        now, notice = time.monotonic(), notices.Notice(*call.notice)
+        if self.notice.adopt(now=now, notice=notice):
+            self._apply_notice(now, "peer")
+
+    def _identify_notice(self, backend):
+        """Forget the notice of a former backend server at this address."""
+        source = (backend.instance, backend.born)
+        if self._notice_source not in (None, source):
+            self.notice.reset()
+            self.controller.rate_limit.set_rate(now=time.monotonic(), rate=None)
+        self._notice_source = source
+
+    def _make_notice(self, call):
+        """Return the notice for a reply; an empty one only corrects another."""
+        notice = self.notice.current
+        return None if notice == notices.EMPTY and call.notice is None else notice
+
+    def _apply_notice(self, now, source):
+        self.controller.rate_limit.set_rate(now=now, rate=self.notice.current.rate)
+        self._log_notice(source)
 
     def _log_notice(self, source):
         self._log.note(
@@ -364,6 +394,7 @@
                 body=response.body if response else b"",
                 retry_after=retry_after,
                 load=self.make_load(),
+                notice=self._make_notice(call),
             )
         )
 
--- a/src/jackdawlanding/mesh/messages.py
+++ b/src/jackdawlanding/mesh/messages.py
@@ -1,6 +1,7 @@
 """The messages that daemons exchange.
 
-They are sent as arrays: the order of fields and of ``KINDS`` is the wire format.
+They are sent as arrays: the order of fields and of ``KINDS`` is the wire format. A
+last field that is ``None`` is left out.
 """
 
 import typing
@@ -23,6 +24,8 @@
     latency target. ``headers`` is a flat sequence of names and values.
     ``is_nested`` tells that a backend server made the request, and
     ``retry_probability`` how likely it is that the request was sent before (0 to 1).
+    ``notice`` holds the fields of the :class:`notices.Notice` that the sender knows of
+    the backend server, ``None`` without one.
     """
 
     number: int
@@ -42,6 +45,7 @@
     caller: str
     request_id: str
     retry_probability: float
+    notice: tuple | None = None
 
 
 class Load(typing.NamedTuple):
@@ -60,7 +64,8 @@
     """Ends a call.
 
     ``outcome`` is the value of an ``outcomes.Outcome``; ``arrived`` tells that
-    the request reached the backend server, whether it ran or not.
+    the request reached the backend server, whether it ran or not. ``notice`` holds the
+    fields of the :class:`notices.Notice` of the backend server, ``None`` without one.
     """
 
     number: int
@@ -72,6 +77,7 @@
     body: bytes
     retry_after: float
     load: Load
+    notice: tuple | None = None
 
 
 class Cancel(typing.NamedTuple):
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -4,6 +4,7 @@
 import tracemalloc
 import unittest
 
+import msgpack
 from hypothesis import given, settings, strategies
 
 from jackdawlanding.mesh import codec, messages
@@ -41,6 +42,16 @@
 
 
 class CodecTest(unittest.TestCase):
+    def test_a_last_field_without_a_value_is_left_out(self):
+        """Daemons of an earlier version do not know the field."""
+        call = make_call(1)
+        named = call._replace(notice=(2.5, False))
+        plain, longer = (codec.Encoder().encode(each) for each in (call, named))
+        self.assertEqual(len(msgpack.unpackb(plain)), len(call._fields))
+        self.assertEqual(codec.Decoder().feed(plain), [call])
+        received = codec.Decoder().feed(longer)[0]
+        self.assertEqual(tuple(received.notice), named.notice)
+
     @settings(max_examples=80, derandomize=True)
     @given(
         sent=strategies.lists(MESSAGES, max_size=12),
--- /dev/null
+++ b/tests/test_notices.py
@@ -0,0 +1,118 @@
+"""What a daemon knows of backend servers from their answers and from replies."""
+
+import types
+import unittest
+
+from jackdawlanding.decisions import directory, notices
+from jackdawlanding.platform import answers
+
+LIMITED = notices.Notice(rate=5.0)
+LEAVING = notices.Notice(is_leaving=True)
+
+
+class LocalNoticeTest(unittest.TestCase):
+    def setUp(self):
+        self.local = notices.LocalNotice()
+
+    def record(self, notice, *, now, sent_at=None, is_complete=True):
+        return self.local.record_answer(
+            now=now,
+            sent_at=now if sent_at is None else sent_at,
+            notice=notice,
+            is_complete=is_complete,
+        )
+
+    def test_only_changes_are_reported(self):
+        self.assertFalse(self.record(notices.EMPTY, now=1.0))
+        self.assertTrue(self.record(LIMITED, now=2.0))
+        self.assertFalse(self.record(LIMITED, now=3.0))
+        self.assertTrue(self.record(notices.EMPTY, now=4.0))
+
+    def test_an_answer_to_an_earlier_request_lifts_no_limit(self):
+        self.record(LIMITED, now=2.0)
+        self.record(notices.EMPTY, now=2.1, sent_at=1.9)
+        self.assertEqual(self.local.current, LIMITED)
+        self.record(notices.EMPTY, now=2.2, sent_at=2.1)
+        self.assertEqual(self.local.current, notices.EMPTY)
+
+    def test_a_refusal_without_the_header_lifts_no_limit(self):
+        self.record(LIMITED, now=2.0)
+        self.record(notices.EMPTY, now=2.2, sent_at=2.1, is_complete=False)
+        self.assertEqual(self.local.current, LIMITED)
+
+    def test_a_leave_is_never_taken_back(self):
+        self.record(LEAVING, now=2.0)
+        self.record(notices.EMPTY, now=3.0)
+        self.assertTrue(self.local.is_leaving)
+
+    def test_a_call_tells_only_what_no_answer_has_told(self):
+        self.assertTrue(self.local.adopt(now=1.0, notice=LIMITED))
+        self.assertFalse(self.local.adopt(now=1.1, notice=notices.Notice(rate=9.0)))
+        self.record(notices.EMPTY, now=3.0)
+        self.assertFalse(self.local.adopt(now=4.0, notice=LIMITED))
+        self.assertEqual(self.local.current, notices.EMPTY)
+
+
+class RemoteNoticesTest(unittest.TestCase):
+    def setUp(self):
+        self.remote = notices.RemoteNotices()
+        self.directory = directory.Directory()
+
+    def put(self, instance, *, born=1):
+        backend = directory.Backend(instance, "desk", "h", 1, "a1", 4, False, born=born)
+        self.revision = getattr(self, "revision", 0) + 1
+        self.directory.put(
+            now=0.0, instance=instance, revision=self.revision, backend=backend
+        )
+
+    def test_an_empty_notice_removes_the_one_before(self):
+        self.remote.record(now=0.0, instance="i", born=1, notice=LIMITED)
+        self.assertEqual(self.remote.get("i"), LIMITED)
+        self.remote.record(now=1.0, instance="i", born=1, notice=notices.EMPTY)
+        self.assertIsNone(self.remote.get("i"))
+
+    def test_a_leave_outlives_the_entry_for_longer_than_the_backend_server(self):
+        """An entry may come back while its backend server still leaves."""
+        self.remote.record(now=0.0, instance="i", born=1, notice=LEAVING)
+        self.remote.apply_directory(now=300.0, directory=self.directory)
+        self.put("i")
+        self.remote.apply_directory(now=301.0, directory=self.directory)
+        self.assertEqual(self.remote.leaving, {"i"})
+
+    def test_a_backend_server_that_starts_again_is_not_leaving(self):
+        self.remote.record(now=0.0, instance="i", born=1, notice=LEAVING)
+        self.put("i", born=2)
+        self.remote.apply_directory(now=1.0, directory=self.directory)
+        self.assertEqual(self.remote.leaving, frozenset())
+
+    def test_notices_of_instances_that_are_gone_are_forgotten_in_the_end(self):
+        self.remote.record(now=0.0, instance="i", born=1, notice=LEAVING)
+        now = notices.RETENTION_SECONDS + 1
+        self.remote.apply_directory(now=now, directory=self.directory)
+        self.assertEqual(self.remote.leaving, frozenset())
+
+
+class DecodeTest(unittest.TestCase):
+    def decode(self, **values):
+        index = {
+            name.replace("_", "-").encode(): value for name, value in values.items()
+        }
+        response = types.SimpleNamespace(get_header=lambda name: index.get(name, b""))
+        return answers.decode_notice(response)
+
+    def test_headers_are_decoded(self):
+        self.assertEqual(self.decode(), notices.EMPTY)
+        self.assertEqual(self.decode(server_limit=b"5.0"), LIMITED)
+        self.assertEqual(self.decode(server_limit=b"0"), notices.Notice(rate=0.0))
+        self.assertEqual(self.decode(server_leaving=b"1"), LEAVING)
+        self.assertEqual(self.decode(server_leaving=b"0"), notices.EMPTY)
+
+    def test_values_that_are_no_rate_are_logged_and_ignored(self):
+        for value in (b"many", b"-1", b"nan", b"inf"):
+            with self.assertLogs("jackdaw.platform") as logs:
+                self.assertEqual(self.decode(server_limit=value), notices.EMPTY)
+            self.assertIn("is no number of requests a second", logs.output[0])
+
+
+if __name__ == "__main__":
+    unittest.main()
