Send no more requests to a backend server that says it leaves

What callers saw: requests that a leaving backend server cuts off. Cause: only its entry in the store was read; its answers say it earlier, and some never say it in the store at all. Evidence: test_a_backend_server_that_says_it_leaves_gets_no_more_requests failed with 4 requests where 1 is due.

--- a/src/jackdawlanding/mesh/dispatcher.py
+++ b/src/jackdawlanding/mesh/dispatcher.py
@@ -167,7 +167,7 @@
             kind=exchange.route.name,
             remaining=max(0.01, exchange.objective - now),
             is_nested=exchange.is_nested,
-            exclude=exchange.tried,
+            exclude=exchange.tried | self._notices.leaving,
         )
 
     def _find_link(self, backend):
--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -201,7 +201,7 @@
         backend = directory.get(call.instance)
         if backend is None and directory.get_revision(call.instance):
             return "gone"
-        if backend is not None and backend.is_draining:
+        if (backend is not None and backend.is_draining) or self.notice.is_leaving:
             return "draining"
         quarantine = self._fleet_state.quarantine
         if len(quarantine):
@@ -299,6 +299,8 @@
     def _apply_notice(self, now, source):
         self.controller.rate_limit.set_rate(now=now, rate=self.notice.current.rate)
         self._log_notice(source)
+        if self.notice.is_leaving:
+            self._refuse_queued("draining")
 
     def _log_notice(self, source):
         self._log.note(
