Answer every request before a planned stop ends

What callers saw: at the end of the grace period their connections were cut without an answer, also of requests that a backend server had made late in it. Cause: the loop stopped at 0.93 of the grace period whatever still ran, and calls of running work were passed on to the end, however little time was left. Change: from SIGTERM on no deadline lies beyond 0.9 of the grace period; an executor takes no call that lasts longer than what is left (one and a half times its mean); at 0.9 all that still runs is answered: 503 with a time to come back if it has not run, else 504, and calls of peers as unknown. Steps that were fixed in seconds come sooner in a short grace period. Ruled out: new requests of callers late in the grace period; they were refused before.

--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -33,13 +33,18 @@
 RELOAD_CHECK_SECONDS = 1.0
 # Seconds after a shutdown request. Everything is served as before until the first:
 # two readiness checks, a second apart, have failed by then. New requests of callers
-# are refused after the second: they might not end within the grace period.
+# are refused after the second: they might not end within the grace period. In a short
+# grace period both come sooner.
 ACCEPT_SECONDS = 2.2
 REFUSE_SECONDS = 3.0
+ACCEPT_SHARE = 0.6
+REFUSE_SHARE = 0.75
 # Longer than a round trip between regions: calls that peers sent before they were
 # notified of the shutdown are still answered.
 LINGER_SECONDS = 0.4
-# The share of the grace period in which running requests may end.
+# The share of the grace period in which running requests may end; those that have not
+# are answered then. The daemon stops a little later, so that the answers are sent.
+ANSWER_SHARE = 0.9
 GRACE_SHARE = 0.93
 SHUTDOWN_CHECK_SECONDS = 0.05
 LINK_TICK_INTERVAL_SECONDS = 0.1
@@ -96,8 +101,16 @@
         self._shutdown_at = time.monotonic()
         self.log.note("daemon", "Leaving.", in_flight=self.dispatcher.in_flight)
         self.caller_server.is_shutting_down = True
-        self.loop.call_later(ACCEPT_SECONDS, self._stop_executor)
-        self.loop.call_later(REFUSE_SECONDS, self.dispatcher.shut_down)
+        grace = self.settings.grace
+        for component in (self.dispatcher, self.executor):
+            component.limit_deadlines(self._shutdown_at + grace * ANSWER_SHARE)
+        steps = (
+            (min(ACCEPT_SECONDS, grace * ACCEPT_SHARE), self._stop_executor),
+            (min(REFUSE_SECONDS, grace * REFUSE_SHARE), self.dispatcher.shut_down),
+            (grace * ANSWER_SHARE, self._give_up_requests),
+        )
+        for seconds, step in steps:
+            self.loop.call_later(seconds, step)
 
     def reload(self):
         """Reload the settings file if it has changed."""
@@ -295,6 +308,17 @@
             lambda: self.loop.call_every(SHUTDOWN_CHECK_SECONDS, self._check_finished),
         )
 
+    def _give_up_requests(self):
+        """Answer the requests that still run; nobody else can once this has ended."""
+        self.log.note(
+            "daemon",
+            "Running requests are given up.",
+            in_flight=self.dispatcher.in_flight,
+            running=self.executor.controller.running,
+        )
+        self.dispatcher.give_up_all()
+        self.executor.give_up_all()
+
     def _check_finished(self):
         """Stop once no request is in flight, or the grace period is nearly over.
 
--- a/src/jackdawlanding/mesh/dispatcher.py
+++ b/src/jackdawlanding/mesh/dispatcher.py
@@ -74,9 +74,15 @@
         )
         self._notices = notices.RemoteNotices()
         self._is_shutting_down = False
-        self.in_flight = 0
+        self._ends_at = float("inf")
+        self._open = set()
         fleet_state.subscribe(loop.coalesce(self._apply_directory))
 
+    @property
+    def in_flight(self):
+        """The number of requests without a response."""
+        return len(self._open)
+
     def is_safe(self, request):
         """Return whether a request may run more than once."""
         return self._resolver.is_safe(request)
@@ -91,16 +97,17 @@
             dispatcher=self, request=request, respond=respond, received_at=received_at
         )
         exchange.parent = self._executor.find_parent(exchange.request_id)
-        self.in_flight += 1
+        self._open.add(exchange)
         refusal = self._refuse_if_shutting_down(exchange) or self._resolver.resolve(
             exchange
         )
         if refusal is not None:
             self._finish(exchange, refusal, "refused")
             return exchange
+        exchange.deadline = min(exchange.deadline, self._ends_at)
         remaining = exchange.deadline - time.monotonic()
         exchange.timer = self._loop.call_later(
-            remaining, lambda: self._on_timeout(exchange)
+            remaining, lambda: self._give_up(exchange, "timeout")
         )
         self._retry_policy.record_first_try(exchange)
         self._submit(exchange)
@@ -111,14 +118,23 @@
         if exchange.respond is None:
             return
         exchange.respond = None
-        self.in_flight -= 1
+        self._open.discard(exchange)
         self._cancel_attempt(exchange)
         self._access_log.record_abandoned(exchange, reason)
 
+    def limit_deadlines(self, ends_at):
+        """Let no new request run beyond a time of the monotonic clock."""
+        self._ends_at = ends_at
+
     def shut_down(self):
         """Refuse new requests; nested calls of the backend server are still served."""
         self._is_shutting_down = True
 
+    def give_up_all(self):
+        """Answer all requests that still run."""
+        for exchange in list(self._open):
+            self._give_up(exchange, "stopped")
+
     def avoid_host(self, host):
         """Avoid the instances at a host that is shutting down, for the grace period."""
         now = time.monotonic()
@@ -288,12 +304,13 @@
         self._access_log.record_retry(exchange, reason)
         self._submit(exchange)
 
-    def _on_timeout(self, exchange):
+    def _give_up(self, exchange, reason):
+        """Cancel a request; respond with what is known of its attempt."""
         if exchange.respond is None:
             return
         cannot_run = self._cancel_attempt(exchange)
         if exchange.fallback or (cannot_run and not exchange.may_have_run):
-            self._fail(exchange, "timeout")
+            self._fail(exchange, reason)
             return
         self._selector.record_duration(
             instance=exchange.backend.instance,
@@ -302,7 +319,7 @@
             now=time.monotonic(),
         )
         response = http.make_text_response(504, "the time for an answer has passed")
-        self._finish(exchange, response, "timeout")
+        self._finish(exchange, response, reason)
 
     def _fail(self, exchange, reason):
         """Respond with the fallback, or that the request has not or may have run."""
@@ -329,7 +346,7 @@
         respond, exchange.respond = exchange.respond, None
         if respond is None:
             return
-        self.in_flight -= 1
+        self._open.discard(exchange)
         if exchange.timer is not None:
             exchange.timer.cancel()
         self._access_log.record_response(exchange, response, reason)
@@ -356,7 +373,16 @@
 
 # Reasons after which an instance can't be reached for a while.
 _UNREACHABLE_REASONS = frozenset(
-    {"unreachable", "down", "gone", "closed", "silent", "no connection", "restarted"}
+    {
+        "unreachable",
+        "down",
+        "gone",
+        "closed",
+        "silent",
+        "no connection",
+        "restarted",
+        "stopped",
+    }
 )
 _REPLY_HANDLERS = {
     outcomes.Outcome.DONE: Dispatcher._handle_response,
--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -22,6 +22,9 @@
 CRASH_CHECK_SECONDS = 0.02
 PROBE_SECONDS = 0.25
 SWEEP_SECONDS = 0.05
+# Durations vary by about half of their mean. A call that may last this many times its
+# mean must end before the executor stops.
+DURATION_FACTOR = 1.5
 # The Retry-After value of paced work: some of its executions have ended by then.
 PACED_RETRY_SECONDS = 0.25
 
@@ -82,6 +85,7 @@
         self.notice = notices.LocalNotice()
         self.is_backend_up = True
         self.is_shutting_down = False
+        self._ends_at = float("inf")
         self._running = {}
         self._lost_calls = []
         self._is_checking_crash = False
@@ -128,7 +132,7 @@
             kind=call.route,
             rank=call.rank,
             is_nested=call.is_nested,
-            deadline=now + call.remaining,
+            deadline=min(now + call.remaining, self._ends_at),
             objective=now + call.objective,
             token=execution,
         )
@@ -158,11 +162,22 @@
         self._run_next()
         return False
 
+    def limit_deadlines(self, ends_at):
+        """Take no call that may run beyond a time of the monotonic clock."""
+        self._ends_at = ends_at
+
     def shut_down(self):
         """Refuse queued and new calls; running calls continue."""
         self.is_shutting_down = True
         self._refuse_queued("leaving")
 
+    def give_up_all(self):
+        """End all running calls; their outcome is unknown."""
+        for execution in list(self._running.values()):
+            execution.attempt.cancel()
+            self._release(execution, is_success=False)
+            self._reply(execution, classification.UNKNOWN, True, "stopped", None)
+
     def apply_backend(self):
         """Apply the backend server's entry in the directory: slots and draining."""
         backend = self.backend
@@ -191,7 +206,7 @@
     def _get_refusal_reason(self, execution):
         """Return the reason to refuse a call, or ``""``."""
         call = execution.call
-        if self.is_shutting_down:
+        if self.is_shutting_down or not self._can_end(call):
             return "leaving"
         if not self.is_backend_up:
             return "down"
@@ -215,6 +230,11 @@
             return "paced"
         return ""
 
+    def _can_end(self, call):
+        """Return whether a call most likely ends before the executor stops."""
+        duration = self.controller.get_duration(call.route) * DURATION_FACTOR
+        return time.monotonic() + duration < self._ends_at
+
     def _run(self, execution):
         call = execution.call
         remaining = execution.job.deadline - time.monotonic()
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -187,12 +187,15 @@
 class FleetCase(unittest.TestCase):
     """Makes meshes of two services in three failure domains."""
 
-    def make(self, **fields):
+    def make(self, *, timeout=3000, **fields):
+        """Return a mesh; ``timeout`` is that of the routes, in milliseconds."""
         return Mesh(
             services=[("desk", "a1"), ("bank", "a1"), ("bank", "a2"), ("bank", "b1")],
             routes=[
-                configurations.make_route("pay", service="bank", kind="unsafe"),
-                configurations.make_route("look", service="bank"),
+                configurations.make_route(
+                    "pay", service="bank", kind="unsafe", timeout=timeout
+                ),
+                configurations.make_route("look", service="bank", timeout=timeout),
             ],
             **fields,
         )
--- a/tests/test_mesh_stops.py
+++ b/tests/test_mesh_stops.py
@@ -5,7 +5,7 @@
 import unittest
 
 from jackdawlanding.mesh import app
-from tests import callers, meshes
+from tests import callers, configurations, meshes
 
 
 class StopTest(meshes.FleetCase):
@@ -55,6 +55,61 @@
             self.assertEqual(desk.call("/pay/1", method="POST", number="way")[0], 200)
             self.assertNotIn("way", near.backend_server.runs)
 
+    def test_a_request_that_outlasts_the_grace_period_is_answered_before_its_end(self):
+        with self.make_chain() as mesh:
+            desk, bank = mesh.members
+            bank.backend_server.seconds = 6.0
+            results = []
+            caller = threading.Thread(
+                target=lambda: results.append(desk.call("/child/1", deadline=9000)[0])
+            )
+            caller.start()
+            meshes.wait_until(lambda: bank.backend_server.runs)
+            self.assertTrue(desk.shut_down())
+            caller.join()
+            self.assertEqual(results, [504])
+
+    def test_a_late_nested_call_that_cannot_end_in_the_grace_period_is_not_run(self):
+        with self.make_chain() as mesh:
+            desk, bank = mesh.members
+            bank.backend_server.seconds = 2.0
+            self.assertEqual(desk.call("/child/1")[0], 200)
+            desk.backend_server.seconds = 3.4
+            parent = threading.Thread(
+                target=desk.call, args=("/parent/1",), kwargs={"number": "p"}
+            )
+            parent.start()
+            meshes.wait_until(lambda: desk.backend_server.runs)
+            desk.run_in_loop(desk.daemon.shut_down)
+            time.sleep(2.8)
+            status, headers, _ = desk.call("/child/2", method="POST", number="p.1")
+            self.assertEqual(status, 503)
+            self.assertGreater(float(headers["Retry-After"]), 0)
+            self.assertNotIn("p.1", bank.backend_server.runs)
+            parent.join()
+
+    def test_a_call_that_cannot_end_before_its_executor_stops_runs_elsewhere(self):
+        with self.make(timeout=8000) as mesh:
+            desk, near, region, far = mesh.members
+            near.backend_server.seconds = 3.9
+            warm = near.call("/pay/0", method="POST", deadline=9000)
+            self.assertEqual(warm[0], 200)
+            near.run_in_loop(near.daemon.shut_down)
+            self.assertEqual(desk.call("/pay/1", method="POST", number="way")[0], 200)
+            self.assertNotIn("way", near.backend_server.runs)
+
+    def make_chain(self):
+        """Return a mesh of a desk and a bank that the desk calls."""
+        return meshes.Mesh(
+            services=[("desk", "a1"), ("bank", "a1")],
+            routes=[
+                configurations.make_route("parent", service="desk", timeout=8000),
+                configurations.make_route(
+                    "child", service="bank", kind="unsafe", timeout=8000
+                ),
+            ],
+        )
+
     def test_a_planned_stop_interrupts_no_request(self):
         with self.make() as mesh:
             desk, near, region, far = mesh.members
