Answer every call of the first daemon before a planned stop ends

What callers saw: connections that were cut at the end of the grace period, also of calls that came late in it and were passed on to other daemons. Evidence: test_calls_that_outlast_the_grace_period_are_answered_before_its_end failed: no answer to a call in flight, to one that came 0.3 s after SIGTERM and to a late one. Change: from half of the grace period on, new calls of callers are refused as not run; at 0.9 of it the calls in flight end as unknown, and their callers are answered. Measured: the test passes (unknown, unknown, not-run; exit code 0), test_backend passes.

--- a/src/jackdawlanding/daemon/app.py
+++ b/src/jackdawlanding/daemon/app.py
@@ -26,6 +26,10 @@
 INCARNATION_BYTES = 6
 SHUTDOWN_NOTICE_SECONDS = 1.0
 SHUTDOWN_POLL_SECONDS = 0.05
+# Shares of the grace period: new calls of callers are refused after the first, since
+# they might not end within it. What still runs after the second is answered as unknown.
+REFUSE_SHARE = 0.5
+ANSWER_SHARE = 0.9
 EXIT_OK = 0
 EXIT_FAILED = 1
 
@@ -92,16 +96,20 @@
         if self.context.shutting_down.is_set():
             return
         started_at = time.monotonic()
+        grace = self._get_grace_seconds()
+        self.context.refuses_at = started_at + grace * REFUSE_SHARE
+        self.context.ends_at = started_at + grace * ANSWER_SHARE
         self.context.shutting_down.set()
         self.context.audit_trail.record(
             "leaving", cause="a planned stop", after="leaving"
         )
         logger.info("daemon: shutting down.")
         self.state_sync.announce_shutdown()
-        grace = self._get_grace_seconds()
         while time.monotonic() - started_at < grace:
             if self._is_drained(time.monotonic() - started_at):
                 break
+            if time.monotonic() >= self.context.ends_at:
+                self._give_up_calls()
             time.sleep(SHUTDOWN_POLL_SECONDS)
         logger.info("daemon: stopped after %.2f s.", time.monotonic() - started_at)
         self._stopped.set()
@@ -110,6 +118,11 @@
         """Shut down on a separate thread; a second call has no effect."""
         threading.Thread(target=self.shut_down, name="leave", daemon=True).start()
 
+    def _give_up_calls(self):
+        """End all calls in flight, so that their callers get an answer."""
+        self.context.backend.abort()
+        self.context.pool.close()
+
     def _get_grace_seconds(self):
         declaration = self.context.declaration
         if declaration:
--- a/src/jackdawlanding/daemon/backend.py
+++ b/src/jackdawlanding/daemon/backend.py
@@ -52,6 +52,7 @@
         self.address = address
         self._limits = http.RESPONSE_LIMITS._replace(body_bytes=maximum_body_bytes)
         self._idle = []
+        self._active = set()
         self._lock = threading.Lock()
 
     def call(self, *, method, target, headers, body, timeout, cancellation):
@@ -72,6 +73,7 @@
             has_body=method in BODY_METHODS,
         )
         try:
+            self._active.add(cancellation)
             cancellation.attach(sock)
             sock.settimeout(max(0.001, deadline - time.monotonic()))
             sock.sendall(data)
@@ -89,11 +91,17 @@
             sock.close()
             raise BackendError(reason="cut-short", sent=True) from None
         finally:
+            self._active.discard(cancellation)
             cancellation.attach(None)
         self._release(sock, reader, response)
         headers = tuple(http.remove_hop_by_hop_headers(response.headers))
         return response._replace(headers=headers)
 
+    def abort(self):
+        """Cancel the calls in flight; their outcome is unknown."""
+        for cancellation in list(self._active):
+            cancellation.cancel()
+
     def close(self):
         """Close the idle connections."""
         with self._lock:
--- a/src/jackdawlanding/daemon/context.py
+++ b/src/jackdawlanding/daemon/context.py
@@ -39,6 +39,9 @@
         self.incarnation = incarnation
         self.started_at = time.monotonic()
         self.shutting_down = threading.Event()
+        # When a shutdown refuses new calls of callers, and when it gives up all calls,
+        # in time.monotonic() seconds.
+        self.refuses_at = self.ends_at = float("inf")
         self.audit_trail = audit.Trail()
         self.metrics = metrics.Metrics()
         self.publications = versions.ActivePublications(decode=publications.decode)
--- a/src/jackdawlanding/daemon/ingress.py
+++ b/src/jackdawlanding/daemon/ingress.py
@@ -53,6 +53,8 @@
                 call.protected, dispatch.ROLE_SERVE, is_from_caller=True
             ):
                 answer = messages.refuse("over-limit")
+            elif started_at >= self._context.refuses_at:
+                answer = messages.refuse("leaving")
             elif call.key:
                 answer = self._serve_deduplicated(call)
             else:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,5 +1,6 @@
 """Failures of processes: kills, freezes, platform outages and planned stops."""
 
+import contextlib
 import signal
 import threading
 import time
@@ -146,6 +147,45 @@
         )
 
 
+class ShortGraceTest(FailureCase):
+    """Calls last longer than the grace period of their daemon."""
+
+    text = PAYOUTS.replace("grace_seconds = 10", "grace_seconds = 3")
+    service_seconds = 6.0
+    instances = 2
+
+    def test_calls_that_outlast_the_grace_period_are_answered_before_its_end(self):
+        leaving, other = self.nodes
+        replies = {}
+
+        def call(name, delay):
+            time.sleep(delay)
+            replies[name] = None
+            with contextlib.suppress(OSError, support.http.client.HTTPException):
+                replies[name] = support.call(
+                    leaving.caller_port, "GET", f"/status/{name}"
+                )
+
+        callers = [
+            threading.Thread(target=call, args=arguments)
+            for arguments in (("early", 0.0), ("stopping", 1.3), ("late", 3.2))
+        ]
+        for caller in callers:
+            caller.start()
+        time.sleep(1.0)
+        leaving.daemon.send_signal(signal.SIGTERM)
+        self.assertEqual(leaving.daemon.wait(5), 0)
+        for caller in callers:
+            caller.join()
+        outcomes = {
+            name: reply and reply.headers.get("Jackdaw-Outcome")
+            for name, reply in replies.items()
+        }
+        self.assertEqual(outcomes["early"], "unknown")
+        self.assertEqual(outcomes["stopping"], "unknown")
+        self.assertEqual(outcomes["late"], "not-run")
+
+
 class ShutdownTest(FailureCase):
     service_seconds = 0.2
 
