Let a leave end with the backend server that announced it

What callers saw: a new backend server at the address of one that had left got no request from some daemons, for as long as it ran. Cause: the executor kept a notice by address. While it had not read the entry of the next backend server yet, it refused calls for that one as leaving and said so in its replies, and dispatchers that had read the entry stored the leave under the new name. Evidence: test_a_leave_does_not_pass_to_the_next_backend_server_at_the_address failed: the new server got none of two requests. Change: a notice bears the name of the backend server that answered. Replies carry and refusals use only the notice of the call's own instance; an answer of another instance, or another start in the directory, ends it. The log line names the instance, and `limit` in the lines of ended calls is the capacity at the rate, as OPERATIONS says. Measured: the test passes; test_mesh_notices, test_notices, test_layers, 25 tests pass.

--- a/src/jackdawlanding/decisions/notices.py
+++ b/src/jackdawlanding/decisions/notices.py
@@ -30,33 +30,50 @@
 class LocalNotice:
     """The notice in force at the local backend server.
 
-    ``current`` is ``None`` until an answer or a call tells it.
+    ``current`` is ``None`` until an answer or a call tells it, and ``instance`` names
+    the backend server that it is of: others may follow at the same address.
     """
 
     def __init__(self):
-        self.reset()
+        self._start = None
+        self._reset("")
 
-    def reset(self):
-        """Forget everything: another backend server has started."""
-        self.current = None
-        self._has_answered = False
-        self._named_at = float("-inf")
+    def get(self, instance):
+        """Return the notice of a backend server, ``None`` if none is known."""
+        return self.current if instance == self.instance else None
+
+    def is_leaving(self, instance):
+        """Whether a backend server said that it is leaving."""
+        notice = self.get(instance)
+        return notice is not None and notice.is_leaving
+
+    def identify(self, *, instance, born):
+        """Forget the notice of an earlier start than the one in the directory.
 
-    @property
-    def is_leaving(self):
-        """Whether the backend server said that it is leaving."""
-        return self.current is not None and self.current.is_leaving
+        :returns: whether the notice in force changed.
+        """
+        former, self._start = self._start, (instance, born)
+        has_restarted = former is not None and former[0] == instance
+        if former == self._start or (self.instance == instance and not has_restarted):
+            return False
+        previous = self.current
+        self._reset(instance)
+        return (previous or EMPTY) != EMPTY
 
-    def record_answer(self, *, now, sent_at, notice, is_complete):
+    def record_answer(self, *, now, sent_at, instance, notice, is_complete):
         """Merge the notice of an answer; return whether the current one changed.
 
         An answer without a rate lifts the limit only if its request was sent after
         the limit became known: answers of different connections arrive in any order.
 
         :param sent_at: when the request was sent.
+        :param instance: the backend server that answered.
         :param is_complete: whether the answer is valid and complete. Others may lack
             headers.
         """
+        previous = self.current or EMPTY
+        if instance != self.instance:
+            self._reset(instance)
         known = self.current or EMPTY
         rate = notice.rate
         if rate is not None:
@@ -68,16 +85,23 @@
         merged = Notice(rate=rate, is_leaving=known.is_leaving or notice.is_leaving)
         if is_complete or merged != EMPTY:
             self.current = merged
-        return merged != known
+        return merged != previous
 
-    def adopt(self, *, now, notice):
+    def adopt(self, *, now, instance, notice):
         """Adopt what a call tells until an answer does; return whether it is new."""
         if self._has_answered or self.current is not None:
             return False
+        self.instance = instance
         self.current = notice
         self._named_at = now
         return True
 
+    def _reset(self, instance):
+        self.instance = instance
+        self.current = None
+        self._has_answered = False
+        self._named_at = float("-inf")
+
 
 class _Heard(typing.NamedTuple):
     """A notice of the backend server of an instance that started at ``born``."""
--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -90,8 +90,6 @@
         self._lost_calls = []
         self._is_checking_crash = False
         self._admission_timer = None
-        # The instance and the start of the backend server that ``notice`` is of.
-        self._notice_source = None
 
     @property
     def backend(self):
@@ -216,7 +214,9 @@
         backend = directory.get(call.instance)
         if backend is None and directory.get_revision(call.instance):
             return "gone"
-        if (backend is not None and backend.is_draining) or self.notice.is_leaving:
+        if backend is not None and backend.is_draining:
+            return "draining"
+        if self.notice.is_leaving(call.instance):
             return "draining"
         quarantine = self._fleet_state.quarantine
         if len(quarantine):
@@ -288,6 +288,7 @@
         has_changed = self.notice.record_answer(
             now=now,
             sent_at=execution.job.admitted_at,
+            instance=execution.call.instance,
             notice=answers.decode_notice(response),
             is_complete=outcome is classification.DONE,
         )
@@ -300,34 +301,33 @@
         if backend is not None and backend.instance != call.instance:
             return
         now, notice = time.monotonic(), notices.Notice(*call.notice)
-        if self.notice.adopt(now=now, notice=notice):
+        if self.notice.adopt(now=now, instance=call.instance, notice=notice):
             self._apply_notice(now, "peer")
 
     def _identify_notice(self, backend):
         """Forget the notice of a former backend server at this address."""
-        source = (backend.instance, backend.born)
-        if self._notice_source not in (None, source):
-            self.notice.reset()
-            self.controller.rate_limit.set_rate(now=time.monotonic(), rate=None)
-        self._notice_source = source
+        if self.notice.identify(instance=backend.instance, born=backend.born):
+            self._apply_notice(time.monotonic(), "directory")
 
     def _make_notice(self, call):
         """Return the notice for a reply; an empty one only corrects another."""
-        notice = self.notice.current
+        notice = self.notice.get(call.instance)
         return None if notice == notices.EMPTY and call.notice is None else notice
 
     def _apply_notice(self, now, source):
-        self.controller.rate_limit.set_rate(now=now, rate=self.notice.current.rate)
-        self._log_notice(source)
-        if self.notice.is_leaving:
+        notice = self.notice.current or notices.EMPTY
+        self.controller.rate_limit.set_rate(now=now, rate=notice.rate)
+        self._log_notice(notice, source)
+        if notice.is_leaving:
             self._refuse_queued("draining")
 
-    def _log_notice(self, source):
+    def _log_notice(self, notice, source):
         self._log.note(
             "host",
             "The backend server's notice changed.",
-            rate=self.notice.current.rate,
-            leaving=self.notice.current.is_leaving,
+            instance=self.notice.instance,
+            rate=notice.rate,
+            leaving=notice.is_leaving,
             source=source,
             arrivals=self._metrics.get("host_arrivals"),
             running=self.controller.running,
@@ -396,7 +396,7 @@
                 arrived=arrived,
                 running=self.controller.running,
                 queued=self.controller.queued,
-                limit=self.controller.limit,
+                limit=self.controller.capacity,
                 left=round(call.remaining, 3),
             )
         flat_headers = []
--- a/tests/test_mesh_notices.py
+++ b/tests/test_mesh_notices.py
@@ -129,6 +129,28 @@
             self.assertEqual(desk.call("/pay/2", method="POST")[0], 200)
             self.assertEqual(len(near.backend_server.runs), 2)
 
+    def test_a_leave_does_not_pass_to_the_next_backend_server_at_the_address(self):
+        """The daemon beside both may be the last to learn of the new one."""
+        with self.make() as mesh:
+            desk, near, region, far = mesh.members
+            near.backend_server.notice = {"Server-Leaving": "1"}
+            self.assertEqual(desk.call("/pay/1", method="POST")[0], 200)
+            apply_backend = near.daemon.executor.apply_backend
+            near.daemon.executor.apply_backend = lambda: None
+            near.backend_server.notice = {}
+            near.backend_server.instance = "i-9"
+            mesh.store.put("servers/i-1", None)
+            mesh.store.put(
+                "servers/i-9", near.backend_server.make_entry(host=near.host)
+            )
+            meshes.wait_until(lambda: "i-9" in desk.daemon.fleet_state.directory)
+            time.sleep(0.1)
+            self.assertEqual(desk.call("/pay/2", method="POST", number="2")[0], 200)
+            near.run_in_loop(apply_backend)
+            time.sleep(0.3)
+            self.assertEqual(desk.call("/pay/3", method="POST", number="3")[0], 200)
+            self.assertEqual(near.backend_server.runs[1:], ["2", "3"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -14,10 +14,11 @@
     def setUp(self):
         self.local = notices.LocalNotice()
 
-    def record(self, notice, *, now, sent_at=None, is_complete=True):
+    def record(self, notice, *, now, sent_at=None, instance="i-1", is_complete=True):
         return self.local.record_answer(
             now=now,
             sent_at=now if sent_at is None else sent_at,
+            instance=instance,
             notice=notice,
             is_complete=is_complete,
         )
@@ -43,15 +44,43 @@
     def test_a_leave_is_never_taken_back(self):
         self.record(LEAVING, now=2.0)
         self.record(notices.EMPTY, now=3.0)
-        self.assertTrue(self.local.is_leaving)
+        self.assertTrue(self.local.is_leaving("i-1"))
 
     def test_a_call_tells_only_what_no_answer_has_told(self):
-        self.assertTrue(self.local.adopt(now=1.0, notice=LIMITED))
-        self.assertFalse(self.local.adopt(now=1.1, notice=notices.Notice(rate=9.0)))
+        self.assertTrue(self.adopt(LIMITED, now=1.0))
+        self.assertFalse(self.adopt(notices.Notice(rate=9.0), now=1.1))
         self.record(notices.EMPTY, now=3.0)
-        self.assertFalse(self.local.adopt(now=4.0, notice=LIMITED))
+        self.assertFalse(self.adopt(LIMITED, now=4.0))
         self.assertEqual(self.local.current, notices.EMPTY)
 
+    def adopt(self, notice, *, now):
+        return self.local.adopt(now=now, instance="i-1", notice=notice)
+
+    def test_a_notice_is_of_the_backend_server_that_gave_it(self):
+        self.record(LEAVING, now=1.0)
+        self.assertFalse(self.local.is_leaving("i-2"))
+        self.assertIsNone(self.local.get("i-2"))
+
+    def test_an_answer_of_the_next_backend_server_ends_the_notice(self):
+        self.record(LIMITED, now=1.0)
+        self.assertTrue(self.record(notices.EMPTY, now=1.1, instance="i-2"))
+        self.assertEqual(self.local.get("i-2"), notices.EMPTY)
+
+    def test_another_start_in_the_directory_ends_the_notice(self):
+        for instance, born in (("i-1", 2), ("i-2", 1)):
+            self.local = notices.LocalNotice()
+            self.local.identify(instance="i-1", born=1)
+            self.record(LEAVING, now=1.0)
+            self.assertFalse(self.local.identify(instance="i-1", born=1))
+            self.assertTrue(self.local.identify(instance=instance, born=born))
+            self.assertFalse(self.local.is_leaving("i-1"))
+
+    def test_a_notice_that_came_before_the_directory_s_entry_holds(self):
+        self.local.identify(instance="i-1", born=1)
+        self.record(LIMITED, now=1.0, instance="i-2")
+        self.assertFalse(self.local.identify(instance="i-2", born=1))
+        self.assertEqual(self.local.get("i-2"), LIMITED)
+
 
 class RemoteNoticesTest(unittest.TestCase):
     def setUp(self):
