Take no notice from a reply of an earlier start

What callers saw: a backend server that had started again under its name could get no request from a daemon until the next change of the list. Cause: the dispatcher stored the notice of a late reply under the name alone, although the directory already had another start. Evidence: test_a_late_reply_of_an_earlier_start_tells_nothing_of_the_next failed with the check left out. Change: a reply's notice is stored only for the start that the directory lists, or if it lists none. Measured: test_notices and test_mesh_notices, 22 tests pass.

--- a/src/jackdawlanding/decisions/notices.py
+++ b/src/jackdawlanding/decisions/notices.py
@@ -127,8 +127,16 @@
         heard = self._heard.get(instance)
         return heard and heard.notice
 
-    def record(self, *, now, instance, born, notice):
-        """Store a notice; an empty one removes that of the instance."""
+    def record(self, *, now, backend, notice, directory):
+        """Store the notice of a reply; an empty one removes that of the instance.
+
+        :param backend: the backend server that the reply is of. The reply of one that
+            has started again since tells nothing.
+        """
+        instance, born = backend.instance, backend.born
+        listed = directory.get(instance)
+        if listed is not None and listed.born != born:
+            return
         if notice == EMPTY:
             self._heard.pop(instance, None)
         else:
--- a/src/jackdawlanding/mesh/dispatcher.py
+++ b/src/jackdawlanding/mesh/dispatcher.py
@@ -227,9 +227,9 @@
         if reply.notice is not None:
             self._notices.record(
                 now=now,
-                instance=instance,
-                born=exchange.backend.born,
+                backend=exchange.backend,
                 notice=notices.Notice(*reply.notice),
+                directory=self._fleet_state.directory,
             )
         if exchange.respond is None or number != exchange.number:
             return
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -87,35 +87,52 @@
         self.remote = notices.RemoteNotices()
         self.directory = directory.Directory()
 
+    def make(self, instance, *, born):
+        return directory.Backend(instance, "desk", "h", 1, "a1", 4, False, born=born)
+
+    def record(self, *, now, notice):
+        """Record a notice of the first start of an instance."""
+        self.remote.record(
+            now=now,
+            backend=self.make("i", born=1),
+            notice=notice,
+            directory=self.directory,
+        )
+
     def put(self, instance, *, born=1):
-        backend = directory.Backend(instance, "desk", "h", 1, "a1", 4, False, born=born)
+        backend = self.make(instance, born=born)
         self.revision = getattr(self, "revision", 0) + 1
         self.directory.put(
             now=0.0, instance=instance, revision=self.revision, backend=backend
         )
 
     def test_an_empty_notice_removes_the_one_before(self):
-        self.remote.record(now=0.0, instance="i", born=1, notice=LIMITED)
+        self.record(now=0.0, notice=LIMITED)
         self.assertEqual(self.remote.get("i"), LIMITED)
-        self.remote.record(now=1.0, instance="i", born=1, notice=notices.EMPTY)
+        self.record(now=1.0, notice=notices.EMPTY)
         self.assertIsNone(self.remote.get("i"))
 
     def test_a_leave_outlives_the_entry_for_longer_than_the_backend_server(self):
         """An entry may come back while its backend server still leaves."""
-        self.remote.record(now=0.0, instance="i", born=1, notice=LEAVING)
+        self.record(now=0.0, notice=LEAVING)
         self.remote.apply_directory(now=300.0, directory=self.directory)
         self.put("i")
         self.remote.apply_directory(now=301.0, directory=self.directory)
         self.assertEqual(self.remote.leaving, {"i"})
 
     def test_a_backend_server_that_starts_again_is_not_leaving(self):
-        self.remote.record(now=0.0, instance="i", born=1, notice=LEAVING)
+        self.record(now=0.0, notice=LEAVING)
         self.put("i", born=2)
         self.remote.apply_directory(now=1.0, directory=self.directory)
         self.assertEqual(self.remote.leaving, frozenset())
 
+    def test_a_late_reply_of_an_earlier_start_tells_nothing_of_the_next(self):
+        self.put("i", born=2)
+        self.record(now=1.0, notice=LEAVING)
+        self.assertEqual(self.remote.leaving, frozenset())
+
     def test_notices_of_instances_that_are_gone_are_forgotten_in_the_end(self):
-        self.remote.record(now=0.0, instance="i", born=1, notice=LEAVING)
+        self.record(now=0.0, notice=LEAVING)
         now = notices.RETENTION_SECONDS + 1
         self.remote.apply_directory(now=now, directory=self.directory)
         self.assertEqual(self.remote.leaving, frozenset())
