--- /dev/null
+++ b/tests/test_proxies.py
@@ -0,0 +1,51 @@
+"""The proxy that tests interrupt connections with."""
+
+import socket
+import unittest
+
+from tests import meshes, proxies
+
+HOST = "127.0.0.1"
+
+
+class ProxyTest(unittest.TestCase):
+    def setUp(self):
+        self.listener = socket.create_server((HOST, 0))
+        self.addCleanup(self.listener.close)
+        self.proxy = proxies.Proxy(
+            host=HOST,
+            port=meshes.find_free_port(),
+            target=self.listener.getsockname(),
+        )
+        self.addCleanup(self.proxy.stop)
+
+    def connect(self):
+        near = socket.create_connection((HOST, self.proxy.port), timeout=2)
+        self.addCleanup(near.close)
+        far, _ = self.listener.accept()
+        self.addCleanup(far.close)
+        far.settimeout(2)
+        near.sendall(b"x")
+        self.assertEqual(far.recv(1), b"x")
+        return near, far
+
+    def test_idle_connections_are_reset_at_once(self):
+        ends = self.connect()
+        self.proxy.reset_all()
+        for end in ends:
+            with self.assertRaises(ConnectionResetError):
+                end.recv(1)
+
+    def test_a_silent_connection_carries_nothing_and_does_not_end(self):
+        near, far = self.connect()
+        self.proxy.go_silent()
+        near.sendall(b"y")
+        near.shutdown(socket.SHUT_WR)
+        far.settimeout(0.2)
+        with self.assertRaises(TimeoutError):
+            far.recv(1)
+        self.connect()
+
+
+if __name__ == "__main__":
+    unittest.main()
