Soak real daemons under overlapping faults

Daemons run as separate processes beside stand-ins of their backend servers; callers keep their connections until the process is gone. Stops, kills, freezes, limits and leaves of backend servers, changes of the configuration and outages of the store come in series and overlap; proxies reset and silence connections to backend servers and the store. From what callers and backend servers saw, each run checks: nothing that may not be repeated runs twice, "not run" is true, answers are whole and the caller's own, a request that ran is answered, limits and leaves are kept, and a stop ends within its grace period with exit code 0.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,11 @@
 PYTHON ?= python3
 BIN := .venv/bin
 DEPLOYMENT ?= plovdiv
+FIRST ?= 1
+COUNT ?= 50
+SIZE ?= 4
 
-.PHONY: demo test lint fuzz plots
+.PHONY: demo test lint fuzz soak
 
 .venv/ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -26,3 +29,7 @@
 	JACKDAW_FUZZ_EXAMPLES=5000 $(BIN)/python -m nose2 -v tests.test_fuzz_once_only \
 		tests.test_fuzz_admission tests.test_fuzz_publications \
 		tests.test_fuzz_slots tests.test_fuzz_gossip
+
+# Real daemons under overlapping faults; CI runs two seeds.
+soak: .venv/ready
+	$(BIN)/python -m tests.soak --first $(FIRST) --count $(COUNT) --size $(SIZE)
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,537 @@
+"""A seeded soak: real daemons, callers that keep their connections, overlapping faults.
+
+    python -m tests.soak --first 1 --count 50
+
+Prints each promise that was broken, and exits with 1 if there was any.
+"""
+
+import collections
+import http.client
+import itertools
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import typing
+
+import typer
+
+from tests import backendservers, configurations, meshes, proxies, stores
+
+PROGRAM = pathlib.Path(__file__).parents[1] / "deploy" / "jackdawd.py"
+GRACE_SECONDS = 6
+SECONDS = 16.0
+CALLERS = 14
+# What the platform's rules give a daemon to obey a notice.
+TOLD_SECONDS = 0.5
+STABLE_SECONDS = 4.0
+WINDOW_SECONDS = 4.0
+DRAIN_SECONDS = 2.5
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Requests with these last path segments get odd answers.
+BEHAVIOURS = ("shed", "twice", "other-first", "refusal-again", "part-of-head")
+PATHS = ("1", "2", "3", "4", *BEHAVIOURS)
+LIMIT_HEADER = "Server-Limit"
+LEAVING_HEADER = "Server-Leaving"
+SOURCE_HEADER = "X-Soak-Source"
+
+
+class Record(typing.NamedTuple):
+    """One request as its caller saw it; ``status`` is ``None`` without an answer."""
+
+    number: str
+    is_safe: bool
+    source: str
+    status: int | None
+    body: bytes
+    headers: dict
+    sent_at: float
+    ended_at: float
+
+
+class Notice(typing.NamedTuple):
+    """A limit or, with ``rate`` ``None``, a leave that a backend server announced."""
+
+    instance: str
+    rate: float | None
+    begins_at: float
+    ends_at: float
+
+
+class Member:
+    """A daemon in a process of its own, and its backend server.
+
+    The daemon reaches the backend server and the store through proxies. ``source``
+    changes with each restart and freeze, which excuse what came before.
+    """
+
+    def __init__(self, *, soak, number, peer_port):
+        self.host = f"127.1.{soak.seed % 250}.{number + 1}"
+        self.backend_server = backendservers.BackendServer(
+            service="bank", instance=f"i-{number}", slots=40, host=self.host
+        )
+        self.backend_server.seconds = 0.05
+        for behaviour in BEHAVIOURS:
+            for route in ("look", "pay"):
+                self.backend_server.behaviours[f"/{route}/{behaviour}"] = behaviour
+        self.ports = {
+            name: meshes.find_free_port(self.host)
+            for name in ("outbound", "ready", "pages")
+        }
+        self.backend_proxy = self._make_proxy((self.host, self.backend_server.port))
+        self.store_proxy = self._make_proxy(soak.store.bound_address)
+        self.disturbed = []
+        self.busy = threading.Lock()
+        self.announcing = threading.Lock()
+        self.process = None
+        self._soak = soak
+        self._starts = itertools.count(1)
+        self._path = soak.folder / f"{self.host}.json"
+        self._path.write_text(json.dumps(self._make_settings(peer_port)))
+        self._log_path = soak.folder / f"{self.host}.log"
+        self._log_path.touch()
+        self._log_offset = 0
+
+    def start(self):
+        self.source = f"{self.host}/{next(self._starts)}"
+        self._log_offset = self._log_path.stat().st_size
+        with self._log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, str(PROGRAM)],
+                env={**os.environ, "JACKDAWLANDING_CONFIG": str(self._path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def stop(self):
+        """Kill the daemon, if it still runs, and stop all that belongs to it."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+        self.backend_proxy.stop()
+        self.store_proxy.stop()
+        self.backend_server.stop()
+
+    def make_entry(self):
+        """Return the entry of the backend server; its address is the proxy's."""
+        return backendservers.make_entry(
+            service=self.backend_server.service,
+            address=f"{self.host}:{self.backend_proxy.port}",
+            slots=self.backend_server.slots,
+        )
+
+    def has_started(self):
+        """Whether the running process handles signals yet."""
+        return b"Started." in self._log_path.read_bytes()[self._log_offset :]
+
+    def excuse(self):
+        """Note a fault that excuses the daemon from what it knew and was doing."""
+        self.disturbed.append(time.monotonic())
+        self.source = f"{self.host}/{next(self._starts)}"
+
+    def _make_proxy(self, target):
+        port = meshes.find_free_port(self.host)
+        return proxies.Proxy(host=self.host, port=port, target=target)
+
+    def _make_settings(self, peer_port):
+        return meshes.make_document(
+            instance=f"member-{self.host}",
+            service="bank",
+            host=self.host,
+            failure_domain="a1",
+            backend_port=self.backend_proxy.port,
+            outbound_port=self.ports["outbound"],
+            readiness_port=self.ports["ready"],
+            metrics_port=self.ports["pages"],
+            peer_port=peer_port,
+            store_address=f"{self.host}:{self.store_proxy.port}",
+            grace_seconds=GRACE_SECONDS,
+        )
+
+
+class Soak:
+    """Runs one seed and collects what broke.
+
+    :param seed: draws all faults and requests.
+    :param size: how many daemons there are.
+    """
+
+    def __init__(self, *, seed, size=4):
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        self.store = stores.Store()
+        self.records = []
+        self.notices = []
+        self.broken = []
+        self._version = itertools.count(1)
+        self._stopping = threading.Event()
+        self._numbers = itertools.count()
+        peer_port = meshes.find_free_port()
+        self.members = [
+            Member(soak=self, number=number, peer_port=peer_port)
+            for number in range(size)
+        ]
+        self.change_configuration()
+        for member in self.members:
+            self.register(member, born=1)
+
+    def run(self):
+        """Play the faults, stop all daemons, check; return what was broken.
+
+        The logs of the daemons stay in ``folder`` if anything was.
+        """
+        try:
+            for member in self.members:
+                member.start()
+            self._wait_ready()
+            callers = self._start(*[self._call_repeatedly] * CALLERS)
+            faults = self._start(*self._draw_faults())
+            time.sleep(SECONDS)
+            for fault in faults:
+                fault.join()
+            stops = self._start(*[lambda m=m: stop(self, m) for m in self.members])
+            for thread in stops:
+                thread.join()
+            self._stopping.set()
+            for caller in callers:
+                caller.join()
+        finally:
+            self._stopping.set()
+            for member in self.members:
+                member.stop()
+            self.store.stop()
+        self._check()
+        if not self.broken:
+            shutil.rmtree(self.folder)
+        return self.broken
+
+    def change_configuration(self):
+        """Publish the next version; only its timeouts differ."""
+        version = next(self._version)
+        timeout = 4000 + version
+        routes = [
+            configurations.make_route("look", service="bank", timeout=timeout),
+            configurations.make_route(
+                "pay", service="bank", kind="unsafe", timeout=timeout
+            ),
+        ]
+        self.store.put(
+            "op/config", configurations.make(version, *routes, services=("bank",))
+        )
+
+    def register(self, member, *, born):
+        """Write the entry of a member's backend server to the store."""
+        key = f"servers/{member.backend_server.instance}"
+        self.store.put(key, {**member.make_entry(), "born": born})
+
+    def is_over(self):
+        """Whether no further fault may begin."""
+        return self._stopping.is_set()
+
+    def _start(self, *targets):
+        threads = [threading.Thread(target=target, daemon=True) for target in targets]
+        for thread in threads:
+            thread.start()
+        return threads
+
+    def _wait_ready(self):
+        def is_ready(member):
+            connection = http.client.HTTPConnection(
+                member.host, member.ports["ready"], timeout=2
+            )
+            try:
+                connection.request("GET", "/jackdawlanding/readiness")
+                return connection.getresponse().status == 200
+            except OSError:
+                return False
+            finally:
+                connection.close()
+
+        meshes.wait_until(lambda: all(map(is_ready, self.members)), seconds=20)
+
+    def _draw_faults(self):
+        """Return functions that each wait for their moment and play one fault."""
+        draw = self.random
+        faults = []
+        for kind in draw.choices(FAULTS, k=12):
+            member, moment = draw.choice(self.members), draw.uniform(0.5, SECONDS - 7)
+            values = draw.random(), draw.random()
+
+            def play(kind=kind, member=member, moment=moment, values=values):
+                time.sleep(moment)
+                kind(self, member, *values)
+
+            faults.append(play)
+        return faults
+
+    def _call_repeatedly(self):
+        draw = random.Random(self.random.random())
+        member, connection = None, None
+        while not self._stopping.is_set():
+            if connection is None:
+                member = draw.choice(self.members)
+                connection = http.client.HTTPConnection(
+                    member.host, member.ports["outbound"], timeout=12
+                )
+            if not self._call(draw, member, connection):
+                connection.close()
+                connection = None
+            time.sleep(draw.uniform(0.0, 0.1))
+        if connection is not None:
+            connection.close()
+
+    def _call(self, draw, member, connection):
+        """Send one request; return whether its connection can be used again."""
+        is_safe = draw.random() < 0.5
+        route = "look" if is_safe else "pay"
+        number = f"q{next(self._numbers)}"
+        headers = {
+            "Host": f"{route}.example",
+            "X-Request-Id": number,
+            "X-Deadline-Ms": "5000",
+            SOURCE_HEADER: member.source,
+        }
+        sent_at = time.monotonic()
+        status, body, answer_headers, is_kept = None, b"", {}, False
+        try:
+            connection.request(
+                "GET" if is_safe else "POST",
+                f"/{route}/{draw.choice(PATHS)}",
+                body=None if is_safe else number.encode(),
+                headers=headers,
+            )
+            response = connection.getresponse()
+            body = response.read()
+            status, answer_headers = response.status, dict(response.getheaders())
+            is_kept = not response.will_close
+        except (OSError, http.client.HTTPException):
+            time.sleep(0.05)
+        record = Record(
+            number=number,
+            is_safe=is_safe,
+            source=headers[SOURCE_HEADER],
+            status=status,
+            body=body,
+            headers=answer_headers,
+            sent_at=sent_at,
+            ended_at=time.monotonic(),
+        )
+        self.records.append(record)
+        return is_kept
+
+    def _check(self):
+        runs = collections.Counter(
+            number for member in self.members for number in member.backend_server.runs
+        )
+        for record in self.records:
+            for check in (check_once, check_truth, check_whole, check_answered):
+                problem = check(self, record, runs[record.number])
+                if problem:
+                    self.broken.append(f"{problem}: {record}")
+        for notice in self.notices:
+            self.broken += check_notice(self, notice)
+
+
+def check_once(soak, record, run_count):
+    if not record.is_safe and run_count > 1:
+        return f"ran {run_count} times"
+    return ""
+
+
+def check_truth(soak, record, run_count):
+    if not record.is_safe and record.status in NOT_RUN_STATUSES and run_count:
+        return "refused as not run, but ran"
+    return ""
+
+
+def check_whole(soak, record, run_count):
+    if record.status != 200:
+        return ""
+    expected = b"ran " if record.is_safe else b"ran " + record.number.encode()
+    is_own = record.headers.get("X-Request-Id") == record.number
+    return "" if is_own and record.body == expected else "got another answer"
+
+
+def check_answered(soak, record, run_count):
+    """Only a fault of the daemon that took a request excuses a lost answer."""
+    if record.status is not None or not run_count:
+        return ""
+    host = record.source.partition("/")[0]
+    member = next(member for member in soak.members if member.host == host)
+    is_excused = any(
+        record.sent_at - STABLE_SECONDS <= at <= record.ended_at
+        for at in member.disturbed
+    )
+    return "" if is_excused else "ran, but its connection ended without an answer"
+
+
+def check_notice(soak, notice):
+    """Return how a limit or a leave was broken by daemons that had passed it on."""
+    header = LEAVING_HEADER if notice.rate is None else LIMIT_HEADER
+    told = {}
+    for record in sorted(soak.records, key=lambda record: record.ended_at):
+        is_of_notice = notice.begins_at <= record.ended_at <= notice.ends_at
+        is_own = record.headers.get("X-Instance") == notice.instance
+        if is_of_notice and is_own and header in record.headers:
+            told.setdefault(record.source, record.ended_at)
+    sent_at = {record.number: record.sent_at for record in soak.records}
+    (backend_server,) = [
+        member.backend_server
+        for member in soak.members
+        if member.backend_server.instance == notice.instance
+    ]
+    arrivals = [
+        (at, headers.get(SOURCE_HEADER), sent_at.get(number, 0.0))
+        for at, (number, headers, *_) in zip(
+            backend_server.arrivals, backend_server.seen, strict=True
+        )
+        if at <= notice.ends_at
+    ]
+    if notice.rate is None:
+        late = [
+            source
+            for at, source, sent in arrivals
+            if source in told and sent > told[source] + DRAIN_SECONDS
+        ]
+        return [f"reached a leaving server from {name}: {notice}" for name in late]
+    times = sorted(
+        at
+        for at, source, _ in arrivals
+        if source in told
+        and told[source] + TOLD_SECONDS <= at
+        and notice.begins_at + STABLE_SECONDS <= at
+    )
+    most = max(
+        (sum(1 for at in times if start <= at <= start + WINDOW_SECONDS))
+        for start in (*times, 0.0)
+    )
+    allowed = 1.5 * WINDOW_SECONDS * notice.rate + 5
+    return [f"got {most} of {allowed} requests: {notice}"] if most > allowed else []
+
+
+def stop(soak, member, *values):
+    """Stop a daemon as planned; start it again, unless the soak is over."""
+    with member.busy:
+        member.source = f"{member.source}/stops"
+        member.process.send_signal(signal.SIGTERM)
+        try:
+            code = member.process.wait(GRACE_SECONDS + 1)
+            if code and member.has_started():
+                soak.broken.append(f"{member.host} exited with {code}")
+        except subprocess.TimeoutExpired:
+            soak.broken.append(f"{member.host} did not stop in {GRACE_SECONDS + 1} s")
+        if values:
+            member.start()
+
+
+def kill(soak, member, delay, *values):
+    """Kill a daemon, at times in the middle of a planned stop."""
+    with member.busy:
+        if delay > 0.5:
+            member.process.send_signal(signal.SIGTERM)
+            time.sleep(delay)
+        member.excuse()
+        member.process.kill()
+        member.process.wait()
+        member.start()
+
+
+def freeze(soak, member, share, *values):
+    with member.busy:
+        member.excuse()
+        member.process.send_signal(signal.SIGSTOP)
+        time.sleep(0.2 + 2 * share)
+        member.process.send_signal(signal.SIGCONT)
+        member.excuse()
+
+
+def limit(soak, member, share, *values):
+    _announce(soak, member, LIMIT_HEADER, 3 + round(12 * share, 1), seconds=8.0)
+
+
+def leave(soak, member, *values):
+    if _announce(soak, member, LEAVING_HEADER, None, seconds=6.0):
+        soak.register(member, born=int(time.monotonic() * 1000))
+
+
+def _announce(soak, member, header, rate, *, seconds):
+    """Let a backend server announce something, unless it does; return whether."""
+    backend_server = member.backend_server
+    if not member.announcing.acquire(blocking=False):
+        return False
+    begins_at = time.monotonic()
+    instance = {"X-Instance": backend_server.instance}
+    backend_server.notice = {**instance, header: "1" if rate is None else str(rate)}
+    time.sleep(seconds)
+    soak.notices.append(
+        Notice(backend_server.instance, rate, begins_at, time.monotonic())
+    )
+    backend_server.notice = instance
+    member.announcing.release()
+    return True
+
+
+def change(soak, member, *values):
+    soak.change_configuration()
+
+
+def fail_store(soak, member, share, *values):
+    soak.store.failure = 503
+    time.sleep(0.5 + 4 * share)
+    soak.store.failure = None
+
+
+def reset_backend(soak, member, share, *values):
+    """Reset the connections of a daemon to its backend server, again and again."""
+    for _ in range(1 + int(10 * share)):
+        member.backend_proxy.reset_all()
+        time.sleep(0.1)
+
+
+def silence_backend(soak, member, *values):
+    member.backend_proxy.go_silent()
+
+
+def cut_store(soak, member, share, *values):
+    """Silence a daemon's connections to the store; new ones are reset for a while."""
+    member.store_proxy.go_silent()
+    end = time.monotonic() + 0.5 + 4 * share
+    while time.monotonic() < end:
+        time.sleep(0.1)
+        member.store_proxy.reset_all()
+
+
+FAULTS = (
+    *(stop, stop, stop, kill, kill, freeze, limit, limit, leave, change, fail_store),
+    *(reset_backend, silence_backend, cut_store),
+)
+
+
+def main(first: int = 1, count: int = 50, size: int = 4):
+    """Run seeds one after the other."""
+    is_broken = False
+    for seed in range(first, first + count):
+        soak = Soak(seed=seed, size=size)
+        broken = soak.run()
+        answered = sum(1 for record in soak.records if record.status == 200)
+        print(
+            f"seed {seed}: {len(soak.records)} requests, {answered} with 200, "
+            f"broken: {len(broken)}{f', logs: {soak.folder}' if broken else ''}",
+            flush=True,
+        )
+        for problem in broken[:20]:
+            print(f"  {problem}", flush=True)
+        is_broken = is_broken or bool(broken)
+    raise typer.Exit(code=int(is_broken))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/tests/stores.py
+++ b/tests/stores.py
@@ -36,6 +36,7 @@
                 pass
 
         self._server = servers.Server(("127.0.0.1", 0), Handler)
+        self.bound_address = self._server.server_address
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
         threading.Thread(
             target=self._server.serve_forever, args=(0.01,), daemon=True
