Bound the rate that a backend server may name

Callers of a backend server that named a rate such as 1e308 would have got no answer: the rate times the mean duration is infinite once requests take over a second, and each reply failed on the way out.

Cause: the header is checked to be a finite number, but what is computed from it need not be finite.

Change: a rate limit bounds its rate above as it does below.

--- a/src/jackdawlanding/decisions/rates.py
+++ b/src/jackdawlanding/decisions/rates.py
@@ -9,6 +9,8 @@
 # A backend server that takes nothing is asked now and then: only an answer can lift
 # its limit.
 MINIMUM_RATE = 0.5
+# Bounds the arithmetic; no backend server serves as many requests a second.
+MAXIMUM_RATE = 1e6
 
 
 class RateLimit:
@@ -29,7 +31,9 @@
             self._refilled_at = now
         else:
             self._refill(now)
-        self.rate = None if rate is None else max(MINIMUM_RATE, rate)
+        if rate is not None:
+            rate = min(MAXIMUM_RATE, max(MINIMUM_RATE, rate))
+        self.rate = rate
 
     def get_delay(self, *, now, ahead=0):
         """Return the seconds until a request behind ``ahead`` others may be sent."""
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -49,6 +49,13 @@
         times = send_all(limit, until=WINDOW_SECONDS, step=0.01)
         self.assertTrue(0 < len(times) <= 5)
 
+    def test_a_rate_beyond_all_numbers_of_slots_limits_nothing_else(self):
+        controller = slots.SlotController(slots=100)
+        controller.mean_seconds = 3.0
+        controller.rate_limit.set_rate(now=0.0, rate=1e308)
+        self.assertEqual(controller.capacity, controller.limit)
+        self.assertEqual(controller.rate_limit.get_delay(now=1.0), 0.0)
+
     @settings(derandomize=True, max_examples=50, deadline=None)
     @given(
         strategies.lists(
