Wait in a planned stop until daemons have read their replies

Callers saw a 502 for work that must not run twice and that had run: its reply was still in the buffer of a link, or not yet asked for on a new link, when the daemon beside the backend server stopped.

Cause: a stop counted the requests of its callers and the calls in flight. A call ends for the executor when its reply is handed to the link.

Change: a stop also waits, within the grace period, for replies that are not sent whole and, of work that must not run twice, not acknowledged. A stream that is closed drops its unsent bytes, as it says, so that it does not count.

Evidence: the test, an answer of 12 MB to a daemon that is paused for 2.2 s, got 502 before and 200 now.

--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -320,13 +320,17 @@
         self.executor.give_up_all()
 
     def _check_finished(self):
-        """Stop once no request is in flight, or the grace period is nearly over.
+        """Stop once all is answered, or the grace period is nearly over.
 
         Calls that the local backend server makes are served until then.
         """
         self.caller_server.close_idle()
         seconds = time.monotonic() - self._shutdown_at
-        is_done = not (self.caller_server.busy_count or self.executor.in_flight)
+        is_done = not (
+            self.caller_server.busy_count
+            or self.executor.in_flight
+            or self.link_server.has_undelivered
+        )
         if is_done or seconds > self.settings.grace * GRACE_SHARE:
             self.loop.stop()
 
--- a/src/jackdawlanding/mesh/serving.py
+++ b/src/jackdawlanding/mesh/serving.py
@@ -106,6 +106,19 @@
         """The links by the calling daemon's incarnation."""
         return self._links
 
+    @property
+    def has_undelivered(self):
+        """Whether a reply has not, or not whole, reached the daemon that called.
+
+        Replies to calls that must not run twice count until they are acknowledged.
+        """
+        if any(link.stream.unsent for link in self._links.values()):
+            return True
+        return any(
+            served.reply is not None and not served.is_safe
+            for served in self._served.values()
+        )
+
     def accept(self, stream, host):
         """Serve a new connection; called by a listener."""
         InboundLink(server=self, stream=stream)
--- a/src/jackdawlanding/mesh/streams.py
+++ b/src/jackdawlanding/mesh/streams.py
@@ -112,6 +112,7 @@
             self.is_closed = True
             self._loop.unwatch(self.sock.fileno())
             self.sock.close()
+            self._unsent.clear()
             # The callbacks refer to what was received, and their owner to the stream.
             self.on_open = self.on_data = self.on_closed = self.on_drained = None
 
--- a/tests/test_mesh_stops.py
+++ b/tests/test_mesh_stops.py
@@ -7,6 +7,9 @@
 from jackdawlanding.mesh import app
 from tests import callers, configurations, meshes
 
+# Larger than the buffers of a connection.
+LARGE = bytes(12 << 20)
+
 
 class StopTest(meshes.FleetCase):
     """Shutdowns while requests are in flight and new ones arrive."""
@@ -100,6 +103,29 @@
             self.assertEqual(desk.call("/pay/1", method="POST", number="way")[0], 200)
             self.assertNotIn("way", near.backend_server.runs)
 
+    def test_a_stop_waits_until_a_slow_daemon_has_read_its_reply(self):
+        """Nobody else has the answer; the work has run and must not run again."""
+        with self.make(timeout=8000, limits={"maxBodyBytes": len(LARGE)}) as mesh:
+            desk, near, region, far = mesh.members
+            near.backend_server.seconds = 1.5
+            results = []
+            caller = threading.Thread(
+                target=lambda: results.append(
+                    desk.call("/pay/1", method="POST", body=LARGE, deadline=7000)
+                )
+            )
+            caller.start()
+            meshes.wait_until(lambda: near.backend_server.runs)
+            near.run_in_loop(near.daemon.shut_down)
+            time.sleep(1.0)
+            desk.daemon.loop.call_soon(lambda: time.sleep(2.2))
+            self.assertTrue(near.shut_down())
+            near.stop()
+            caller.join()
+            (status, _, body), *_ = results
+            self.assertEqual(status, 200)
+            self.assertEqual(len(body), len(b"ran " + LARGE))
+
     def make_chain(self):
         """Return a mesh of a desk and a bank that the desk calls."""
         return meshes.Mesh(
