Log requests that are refused before they are complete

On call, nothing led from such a 408, 413, 431, 400 or, with full buffers, 503 to its cause: a connection answered them by itself, without a log line or a counter.

Cause: only requests that the dispatcher serves were recorded, and an incomplete one never reaches it.

Change: the connection reports the response, with the id if its header was received, to the access log: one rate-limited line, one counter for each status.

Evidence: the test failed with "no logs triggered".

--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -212,6 +212,7 @@
             serve=self._serve_caller,
             get_limits=self._get_limits,
             may_overlap=self.dispatcher.is_safe,
+            record_refusal=self.dispatcher.access_log.record_refusal,
         )
         self._page_server = callers.CallerServer(
             loop=self.loop, serve=self._serve_page, get_limits=routes.Limits
--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -5,14 +5,12 @@
 """
 
 import collections
-import logging
 import time
 
 from jackdawlanding.mesh import responses
+from jackdawlanding.platform import headers
 from jackdawlanding.wire import http
 
-logger = logging.getLogger("jackdaw.callers")
-
 SWEEP_SECONDS = 0.25
 # Requests that a connection may have queued before reading from it pauses.
 MAXIMUM_PIPELINED = 16
@@ -212,6 +210,12 @@
         )
 
     def _refuse(self, response):
+        """Answer a request that is not complete, and close the connection."""
+        self._server.record_refusal(
+            response,
+            request_id=self._reader.get_partial_header(headers.REQUEST_ID.lower()),
+            host=self.host,
+        )
         self._write(response, keep_alive=False)
         self._end(lingers=True)
 
@@ -258,11 +262,22 @@
     :param get_limits: returns the current ``routes.Limits``.
     :param may_overlap: returns whether a request may be served beside others of its
         connection.
+    :param record_refusal: called with the response to an incomplete request, its
+        ``request_id`` as bytes and the caller's ``host``.
     """
 
-    def __init__(self, *, loop, serve, get_limits, may_overlap=lambda request: False):
+    def __init__(
+        self,
+        *,
+        loop,
+        serve,
+        get_limits,
+        may_overlap=lambda request: False,
+        record_refusal=lambda response, *, request_id, host: None,
+    ):
         self.serve = serve
         self.may_overlap = may_overlap
+        self.record_refusal = record_refusal
         self.is_shutting_down = False
         self.buffered_bytes = 0
         self._get_limits = get_limits
--- a/src/jackdawlanding/mesh/dispatcher.py
+++ b/src/jackdawlanding/mesh/dispatcher.py
@@ -66,7 +66,7 @@
         self._retry_policy = retries.RetryPolicy(
             settings=settings, metrics=metrics, generator=generator
         )
-        self._access_log = responses.AccessLog(
+        self.access_log = responses.AccessLog(
             fleet_state=fleet_state,
             retry_policy=self._retry_policy,
             metrics=metrics,
@@ -120,7 +120,7 @@
         exchange.respond = None
         self._open.discard(exchange)
         self._cancel_attempt(exchange)
-        self._access_log.record_abandoned(exchange, reason)
+        self.access_log.record_abandoned(exchange, reason)
 
     def limit_deadlines(self, ends_at):
         """Let no new request run beyond a time of the monotonic clock."""
@@ -314,7 +314,7 @@
         return self._retry_policy.spend(exchange)
 
     def _retry(self, exchange, reason):
-        self._access_log.record_retry(exchange, reason)
+        self.access_log.record_retry(exchange, reason)
         self._submit(exchange)
 
     def _give_up(self, exchange, reason):
@@ -362,7 +362,7 @@
         self._open.discard(exchange)
         if exchange.timer is not None:
             exchange.timer.cancel()
-        self._access_log.record_response(exchange, response, reason)
+        self.access_log.record_response(exchange, response, reason)
         respond(response)
 
     def _cancel_attempt(self, exchange):
--- a/src/jackdawlanding/mesh/responses.py
+++ b/src/jackdawlanding/mesh/responses.py
@@ -59,6 +59,22 @@
             repeat=round(exchange.retry_probability, 2),
         )
 
+    def record_refusal(self, response, *, request_id, host):
+        """Record the response to a request that was never received whole.
+
+        :param request_id: as bytes, empty if it was not received.
+        :param host: the caller's IP address.
+        """
+        self._metrics.count(f"entry_incomplete_{response.status}")
+        self._log.note(
+            "entry",
+            "An incomplete request was refused.",
+            request=request_id.decode("latin-1"),
+            caller=host,
+            status=response.status,
+            reason=response.body.decode("latin-1").strip(),
+        )
+
     def record_abandoned(self, exchange, reason):
         """Record that a caller disconnected before its response."""
         self._metrics.count(f"entry_{reason}")
--- a/src/jackdawlanding/wire/http.py
+++ b/src/jackdawlanding/wire/http.py
@@ -136,6 +136,15 @@
         self._check_body_size(self._body_size)
         self._chunks.append(data)
 
+    def get_partial_header(self, name):
+        """Return a header of the current message as bytes, ``b""`` if not received.
+
+        :param name: in lower case.
+        """
+        return next(
+            (value for known, value in self._headers if known.lower() == name), b""
+        )
+
     def close(self):
         """Drop what was received of a message; nothing may be fed any more.
 
--- a/tests/test_mesh_answers.py
+++ b/tests/test_mesh_answers.py
@@ -139,6 +139,17 @@
         self.assertEqual(self.call("/pay/b", method="POST", body=b"x" * 70000)[0], 413)
         self.assertEqual(self.call("/look/h", extra={"A": "x" * 5000})[0], 431)
 
+    def test_a_request_that_is_refused_before_it_is_complete_is_logged(self):
+        with self.assertLogs("jackdaw.mesh") as logs:
+            self.call("/pay/b", method="POST", body=b"x" * 70000, number="long")
+        fields = [
+            record.fields
+            for record in logs.records
+            if record.fields.get("request") == "long"
+        ]
+        self.assertEqual([line["status"] for line in fields], [413])
+        self.assertIn("65536", fields[0]["reason"])
+
     def test_a_malformed_request_is_a_400_and_not_forwarded(self):
         count = len(self.backend_server.seen)
         for data in (
