Reuse a connection of the first daemon only where answers name their calls

A caller of the first daemon could get the answer to another request: a backend server that sends a second copy of an answer late, while the next call waits on the same connection, and does not name the call in it.

A success that is sent again is the same fault: an answer is matched by its order on the connection.

Change: a connection is kept only after an answer that names its call. Without a name a backend server gets a new connection for each call. Refusals need no rule of their own.

--- a/src/jackdawlanding/daemon/backend.py
+++ b/src/jackdawlanding/daemon/backend.py
@@ -11,7 +11,6 @@
 import time
 
 from jackdawlanding.daemon import messages
-from jackdawlanding.decisions import outcomes
 from jackdawlanding.wire import http, sockets
 
 READ_BYTES = 65536
@@ -22,11 +21,8 @@
 # Methods whose requests carry a Content-Length even if it is 0.
 BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 
-
 logger = logging.getLogger("jackdaw.backend")
 
-NOT_RUN = outcomes.Outcome.NOT_RUN.label.encode()
-
 
 class BackendError(Exception):
     """Raised when a call got no complete response.
@@ -93,7 +89,8 @@
         finally:
             self._active.discard(cancellation)
             cancellation.attach(None)
-        self._release(sock, reader, response)
+        named = response.get_header(messages.CALL_HEADER.lower())
+        self._release(sock, reader, is_named=bool(named) and named == token)
         headers = tuple(http.remove_hop_by_hop_headers(response.headers))
         return response._replace(headers=headers)
 
@@ -161,16 +158,12 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return sock
 
-    def _release(self, sock, reader, response):
-        """Keep a connection for later calls, unless another answer may come on it.
+    def _release(self, sock, reader, *, is_named):
+        """Keep a connection for later calls if its answers name their calls.
 
-        A second copy of a refusal could end a later call that runs.
+        A late copy of an answer without a name could end a later call.
         """
-        is_reusable = (
-            reader.is_reusable
-            and not reader.ready
-            and response.get_header(messages.OUTCOME_HEADER.lower()) != NOT_RUN
-        )
+        is_reusable = is_named and reader.is_reusable and not reader.ready
         with self._lock:
             if is_reusable and len(self._idle) < MAXIMUM_IDLE_CONNECTIONS:
                 self._idle.append(sock)
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -9,7 +9,8 @@
 from jackdawlanding.daemon import backend, cancellations, messages
 from jackdawlanding.settings import addresses
 
-ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+ANSWER = b"HTTP/1.1 200 OK\r\nJackdaw-Call: 1\r\nContent-Length: 2\r\n\r\nok"
+UNNAMED_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
 class OneAnswerServer:
@@ -122,6 +123,14 @@
         self.call(client)
         self.assertEqual(server.connections, 2)
 
+    def test_a_late_copy_of_an_answer_without_a_name_answers_no_other_call(self):
+        for answer, connections in ((UNNAMED_ANSWER, 2), (ANSWER, 1)):
+            with self.subTest(answer=answer):
+                server, client = self.start(answer, answer)
+                self.call(client)
+                self.call(client)
+                self.assertEqual(server.connections, connections)
+
     def test_an_answer_that_names_another_call_is_dropped(self):
         first = FIRST_ECHOED.replace(b"Jackdaw-Outcome: not-run\r\n", b"")
         server, client = self.start(first, [first, SECOND_ECHOED])
