Detect crashes of the backend server in a module of its own

Result: the tests of crashes, answers, notices and layers pass unchanged, but for one that names the attribute.

--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -1,14 +1,14 @@
 """Execution of calls at the local backend server, the only path to it.
 
-The executor admits calls by slots, queues them, detects crashes and states in
-each reply whether the call ran.
+The executor admits calls by slots and by the rate that the backend server names,
+queues them and states in each reply whether the call ran.
 """
 
 import logging
 import time
 
 from jackdawlanding.decisions import notices, pacing, slots, stops
-from jackdawlanding.mesh import backends, classification, messages, streams
+from jackdawlanding.mesh import backends, classification, health, messages
 from jackdawlanding.platform import answers, headers
 from jackdawlanding.wire import http
 
@@ -17,10 +17,6 @@
 # A request that was in flight at this many crashes is refused: the platform's rule
 # on requests that crash the backend servers that run them.
 MAXIMUM_CRASHES = 3
-# Connections that close within this time of each other belong to one crash.
-CRASH_SECONDS = 0.15
-CRASH_CHECK_SECONDS = 0.02
-PROBE_SECONDS = 0.25
 SWEEP_SECONDS = 0.05
 # The Retry-After value of paced work: some of its executions have ended by then.
 PACED_RETRY_SECONDS = 0.25
@@ -80,12 +76,16 @@
         self.controller = slots.SlotController(slots=1)
         self.pacing_limits = pacing.PacingLimits()
         self.notice = notices.LocalNotice()
-        self.is_backend_up = True
+        self.health = health.BackendHealth(
+            loop=loop,
+            address=address,
+            on_crash=self._record_crash,
+            on_down=lambda: self._refuse_queued("down"),
+            log=log,
+        )
         self.is_shutting_down = False
         self._ends_at = float("inf")
         self._running = {}
-        self._lost_calls = []
-        self._is_checking_crash = False
         self._admission_timer = None
 
     @property
@@ -194,7 +194,7 @@
         return messages.Load(
             running=controller.running,
             queued=controller.queued,
-            limit=controller.capacity if self.is_backend_up else 0,
+            limit=controller.capacity if self.health.is_up else 0,
             seconds=controller.cycle_seconds,
         )
 
@@ -203,7 +203,7 @@
         call = execution.call
         if self.is_shutting_down or not self._can_end(call):
             return "leaving"
-        if not self.is_backend_up:
+        if not self.health.is_up:
             return "down"
         if call.service != self.service:
             return "other-service"
@@ -268,9 +268,9 @@
         self._record_notice(now, execution, outcome, result.response)
         self._release(execution, is_success=outcome is classification.DONE)
         if reason == "unreachable":
-            self._mark_down()
+            self.health.mark_down()
         elif reason == "died":
-            self._record_lost_call(now, execution)
+            self.health.record_lost_call(execution.call)
         elif outcome is classification.DONE and execution.fingerprint:
             self._fleet_state.quarantine.clear(fingerprint=execution.fingerprint)
         self._reply(execution, outcome, arrived, reason, result.response)
@@ -346,7 +346,7 @@
         )
 
     def _run_next(self):
-        if not self.is_backend_up:
+        if not self.health.is_up:
             return
         now = time.monotonic()
         admitted, late = self.controller.admit_next(now=now)
@@ -429,71 +429,11 @@
         if self.controller.queued:
             self._run_next()
 
-    def _record_lost_call(self, now, execution):
-        """Record a call whose connection closed; check soon for a crash."""
-        self._lost_calls.append((now, execution.call))
-        if not self._is_checking_crash:
-            self._is_checking_crash = True
-            self._loop.call_later(CRASH_CHECK_SECONDS, self._check_crash)
-
-    def _check_crash(self):
-        self._probe(self._discard_lost_calls, self._record_crash)
-
-    def _discard_lost_calls(self):
-        self._is_checking_crash = False
-        self._lost_calls.clear()
-
-    def _record_crash(self):
-        self._is_checking_crash = False
-        now = time.monotonic()
-        lost_calls, self._lost_calls = self._lost_calls, []
-        for at, call in lost_calls:
-            if now - at > CRASH_SECONDS + CRASH_CHECK_SECONDS:
-                continue
-            crashes = self._fleet_state.record_crash(
-                classification.make_fingerprint(call)
-            )
-            self._log.note(
-                "host",
-                "A request was in flight at a crash.",
-                request=call.request_id,
-                deaths=crashes,
-            )
-        self._mark_down()
-
-    def _mark_down(self):
-        if not self.is_backend_up:
-            return
-        self.is_backend_up = False
-        self._log.note("host", "The backend server is lost.", dependency="backend")
-        self._refuse_queued("down")
-        self._loop.call_later(PROBE_SECONDS, self._probe_backend)
-
-    def _probe_backend(self):
-        self._probe(self._mark_up, self._schedule_probe)
-
-    def _schedule_probe(self):
-        self._loop.call_later(PROBE_SECONDS, self._probe_backend)
-
-    def _mark_up(self):
-        self.is_backend_up = True
-        self._log.note("host", "The backend server is back.", dependency="backend")
-
-    def _probe(self, on_open, on_failed):
-        """Open and close a connection to check that the backend server accepts it."""
-        stream = streams.connect(loop=self._loop, address=self.address)
-        timer = self._loop.call_later(
-            backends.CONNECT_SECONDS, lambda: stream.close_and_notify(was_reset=True)
+    def _record_crash(self, call):
+        crashes = self._fleet_state.record_crash(classification.make_fingerprint(call))
+        self._log.note(
+            "host",
+            "A request was in flight at a crash.",
+            request=call.request_id,
+            deaths=crashes,
         )
-
-        def handle_open():
-            timer.cancel()
-            stream.close()
-            on_open()
-
-        def handle_closed(was_reset):
-            timer.cancel()
-            on_failed()
-
-        stream.on_open = handle_open
-        stream.on_closed = handle_closed
--- a/tests/test_mesh_fleet.py
+++ b/tests/test_mesh_fleet.py
@@ -73,7 +73,7 @@
                 member.backend_server.restart()
             meshes.wait_until(
                 lambda: all(
-                    member.daemon.executor.is_backend_up for member in mesh.members[1:]
+                    member.daemon.executor.health.is_up for member in mesh.members[1:]
                 )
             )
             status, _, _ = desk.call(
