End no notice by an entry that does not tell when a server started

A backend server that was leaving, or limited, would have got requests again: an entry of another writer under its name, with `born` missing or of another type, looked like another start of it, and the notice was forgotten. So did the entry that followed.

Cause: an unknown time of start is decoded as 0, and 0 was compared like a time. Found by asking what else can end a notice.

Change: only two known times that differ are a restart.

One more check: a repeated old entry does not end the notice of the next server.

--- a/src/jackdawlanding/decisions/directory.py
+++ b/src/jackdawlanding/decisions/directory.py
@@ -25,7 +25,7 @@
 
     ``host`` and ``port`` are its address and ``slots`` is how many requests it
     runs at once. ``warm_seconds`` is how much of its warm-up remained when it sent
-    the record; ``born`` is when it started, in Unix milliseconds.
+    the record; ``born`` is when it started, in Unix milliseconds, 0 if unknown.
     """
 
     instance: str
--- a/src/jackdawlanding/decisions/notices.py
+++ b/src/jackdawlanding/decisions/notices.py
@@ -27,6 +27,11 @@
 EMPTY = Notice()
 
 
+def _is_restart(before, after):
+    """Return whether two times of start are known and differ."""
+    return before != after and 0 not in (before, after)
+
+
 class LocalNotice:
     """The notice in force at the local backend server.
 
@@ -35,7 +40,8 @@
     """
 
     def __init__(self):
-        self._start = None
+        # The instance in the directory, and when it started.
+        self._start = ("", 0)
         self._reset("")
 
     def get(self, instance):
@@ -50,11 +56,14 @@
     def identify(self, *, instance, born):
         """Forget the notice of an earlier start than the one in the directory.
 
+        :param born: when it started, 0 if that is not known.
         :returns: whether the notice in force changed.
         """
-        former, self._start = self._start, (instance, born)
-        has_restarted = former is not None and former[0] == instance
-        if former == self._start or (self.instance == instance and not has_restarted):
+        former, known = self._start
+        is_same = instance == former
+        has_restarted = is_same and _is_restart(known, born)
+        self._start = (instance, born or (known if is_same else 0))
+        if not has_restarted and (is_same or instance == self.instance):
             return False
         previous = self.current
         self._reset(instance)
@@ -135,7 +144,7 @@
         """
         instance, born = backend.instance, backend.born
         listed = directory.get(instance)
-        if listed is not None and listed.born != born:
+        if listed is not None and _is_restart(born, listed.born):
             return
         if notice == EMPTY:
             self._heard.pop(instance, None)
@@ -150,7 +159,7 @@
             if backend is None:
                 is_over = now - heard.at > RETENTION_SECONDS
             else:
-                is_over = backend.born != heard.born
+                is_over = _is_restart(heard.born, backend.born)
             if is_over:
                 del self._heard[instance]
         self._update_leaving()
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -75,9 +75,18 @@
             self.assertTrue(self.local.identify(instance=instance, born=born))
             self.assertFalse(self.local.is_leaving("i-1"))
 
+    def test_an_entry_that_does_not_tell_the_start_ends_no_notice(self):
+        self.local.identify(instance="i-1", born=1)
+        self.record(LEAVING, now=1.0)
+        for born in (0, 1):
+            self.assertFalse(self.local.identify(instance="i-1", born=born))
+            self.assertTrue(self.local.is_leaving("i-1"))
+
     def test_a_notice_that_came_before_the_directory_s_entry_holds(self):
         self.local.identify(instance="i-1", born=1)
         self.record(LIMITED, now=1.0, instance="i-2")
+        self.assertFalse(self.local.identify(instance="i-1", born=1))
+        self.assertEqual(self.local.get("i-2"), LIMITED)
         self.assertFalse(self.local.identify(instance="i-2", born=1))
         self.assertEqual(self.local.get("i-2"), LIMITED)
 
@@ -126,6 +135,18 @@
         self.remote.apply_directory(now=1.0, directory=self.directory)
         self.assertEqual(self.remote.leaving, frozenset())
 
+    def test_an_entry_that_does_not_tell_the_start_ends_no_leave(self):
+        self.record(now=0.0, notice=LEAVING)
+        for born in (0, 1):
+            self.put("i", born=born)
+            self.remote.apply_directory(now=1.0, directory=self.directory)
+            self.assertEqual(self.remote.leaving, {"i"})
+
+    def test_a_reply_tells_of_a_backend_server_whose_start_is_not_known(self):
+        self.put("i", born=0)
+        self.record(now=1.0, notice=LEAVING)
+        self.assertEqual(self.remote.leaving, {"i"})
+
     def test_a_late_reply_of_an_earlier_start_tells_nothing_of_the_next(self):
         self.put("i", born=2)
         self.record(now=1.0, notice=LEAVING)
