Lift a limit by a success only

A backend server that named a limit and failed part of its requests could get far more than it named: a failure without the header, complete and signed, was taken as the end of the limit, and all that waited was sent at once. After a restart such a failure also kept the daemon from adopting the limit that calls told it.

Cause: any complete answer counted as what the server says of itself. A failure may come from another part of it.

Change: only an answer with a status of success lifts a limit, or ends the time in which calls may tell one.

--- a/src/jackdawlanding/decisions/notices.py
+++ b/src/jackdawlanding/decisions/notices.py
@@ -69,7 +69,7 @@
         self._reset(instance)
         return (previous or EMPTY) != EMPTY
 
-    def record_answer(self, *, now, sent_at, instance, notice, is_complete):
+    def record_answer(self, *, now, sent_at, instance, notice, is_success):
         """Merge the notice of an answer; return whether the current one changed.
 
         An answer without a rate lifts the limit only if its request was sent after
@@ -77,8 +77,8 @@
 
         :param sent_at: when the request was sent.
         :param instance: the backend server that answered.
-        :param is_complete: whether the answer is valid and complete. Others may lack
-            headers.
+        :param is_success: whether the answer is valid and complete, and no failure.
+            Others may come from another part of the backend server and lack headers.
         """
         previous = self.current or EMPTY
         if instance != self.instance:
@@ -87,12 +87,12 @@
         rate = notice.rate
         if rate is not None:
             self._named_at = now
-        elif not is_complete or sent_at <= self._named_at:
+        elif not is_success or sent_at <= self._named_at:
             rate = known.rate
-        if is_complete:
+        if is_success:
             self._has_answered = True
         merged = Notice(rate=rate, is_leaving=known.is_leaving or notice.is_leaving)
-        if is_complete or merged != EMPTY:
+        if is_success or merged != EMPTY:
             self.current = merged
         return merged != previous
 
--- a/src/jackdawlanding/mesh/classification.py
+++ b/src/jackdawlanding/mesh/classification.py
@@ -7,6 +7,7 @@
 UNKNOWN = outcomes.Outcome.UNKNOWN
 DONE = outcomes.Outcome.DONE
 MISDIRECTED_STATUS = 421
+SUCCESS_STATUSES = range(200, 300)
 
 
 def make_fingerprint(call):
@@ -32,6 +33,11 @@
     return False if is_success else None
 
 
+def is_success(outcome, response):
+    """Return whether a response reports that the request ran and succeeded."""
+    return outcome is DONE and response.status in SUCCESS_STATUSES
+
+
 def classify(result):
     """Return ``(outcome, arrived, reason)`` of a ``backends.Result``.
 
--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -290,7 +290,7 @@
             sent_at=execution.job.admitted_at,
             instance=execution.call.instance,
             notice=answers.decode_notice(response),
-            is_complete=outcome is classification.DONE,
+            is_success=classification.is_success(outcome, response),
         )
         if has_changed:
             self._apply_notice(now, "answer")
--- a/tests/test_mesh_notices.py
+++ b/tests/test_mesh_notices.py
@@ -1,6 +1,7 @@
 """Daemons obey what backend servers say of themselves in their answers."""
 
 import contextlib
+import itertools
 import threading
 import time
 import unittest
@@ -12,13 +13,15 @@
 
 
 @contextlib.contextmanager
-def load(member, *, threads=4):
+def load(member, *, threads=4, targets=("/look/1",)):
     """Send requests as fast as they are answered; yield the list of statuses."""
     statuses, stopping = [], threading.Event()
 
     def send():
-        while not stopping.is_set():
-            statuses.append(member.call("/look/1")[0])
+        for target in itertools.cycle(targets):
+            if stopping.is_set():
+                return
+            statuses.append(member.call(target)[0])
             if statuses[-1] != 200:
                 time.sleep(0.02)
 
@@ -52,6 +55,14 @@
         self.assertLessEqual(most, allowed)
         self.assertGreater(most, 0)
 
+    def make_single(self, **fields):
+        """Return a mesh of a desk and the only bank."""
+        return meshes.Mesh(
+            services=[("desk", "a1"), ("bank", "a1")],
+            routes=[configurations.make_route("look", service="bank")],
+            **fields,
+        )
+
     def test_a_backend_server_gets_no_more_requests_than_its_limit(self):
         with self.make() as mesh:
             desk, near, region, far = mesh.members
@@ -63,12 +74,19 @@
             self.assert_within_limit(near.backend_server, since=since)
             self.assertEqual(set(statuses), {200})
 
+    def test_a_failure_that_names_no_limit_does_not_lift_it(self):
+        with self.make_single() as mesh:
+            desk, near = mesh.members
+            near.backend_server.notice = {"Server-Limit": str(LIMIT)}
+            near.backend_server.behaviours["/look/error"] = "error"
+            with load(desk, targets=("/look/1", "/look/error")):
+                time.sleep(0.5)
+                since = time.monotonic()
+                time.sleep(WINDOW_SECONDS)
+            self.assert_within_limit(near.backend_server, since=since)
+
     def test_a_restarted_daemon_keeps_the_limit_of_its_backend_server(self):
-        with meshes.Mesh(
-            services=[("desk", "a1"), ("bank", "a1")],
-            routes=[configurations.make_route("look", service="bank")],
-            slots=80,
-        ) as mesh:
+        with self.make_single(slots=80) as mesh:
             desk, near = mesh.members
             near.backend_server.notice = {"Server-Limit": str(LIMIT)}
             near.backend_server.seconds = 0.4
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -14,13 +14,13 @@
     def setUp(self):
         self.local = notices.LocalNotice()
 
-    def record(self, notice, *, now, sent_at=None, instance="i-1", is_complete=True):
+    def record(self, notice, *, now, sent_at=None, instance="i-1", is_success=True):
         return self.local.record_answer(
             now=now,
             sent_at=now if sent_at is None else sent_at,
             instance=instance,
             notice=notice,
-            is_complete=is_complete,
+            is_success=is_success,
         )
 
     def test_only_changes_are_reported(self):
@@ -38,7 +38,7 @@
 
     def test_a_refusal_without_the_header_lifts_no_limit(self):
         self.record(LIMITED, now=2.0)
-        self.record(notices.EMPTY, now=2.2, sent_at=2.1, is_complete=False)
+        self.record(notices.EMPTY, now=2.2, sent_at=2.1, is_success=False)
         self.assertEqual(self.local.current, LIMITED)
 
     def test_a_leave_is_never_taken_back(self):
