Date the notices that daemons tell each other

A backend server that left and started again under its name could get no more requests from some daemons until its next start: the daemon beside it had not yet read its new entry, refused a call as to a leaving server, and the caller's daemon, which had read it, took that for a word of the new start.

Cause: a notice that is sent bore the name of the backend server, not its start.

Change: a notice on its way tells the start that it is of. One of an earlier start than the directory's is ignored; one of a later start holds until the directory has caught up. The daemon beside the server adopts by the same rule.

Evidence: the test found that the new start ran none of the requests. Rule by rule: test_notices.

--- a/src/jackdawlanding/decisions/notices.py
+++ b/src/jackdawlanding/decisions/notices.py
@@ -27,9 +27,26 @@
 EMPTY = Notice()
 
 
-def _is_restart(before, after):
-    """Return whether two times of start are known and differ."""
-    return before != after and 0 not in (before, after)
+class DatedNotice(typing.NamedTuple):
+    """A notice as daemons tell it to each other.
+
+    ``born`` is when the backend server that gave it started, 0 if that is unknown: it
+    may start again under its name, and daemons learn of that at different times.
+    """
+
+    notice: Notice
+    born: int
+
+
+def make_dated(values):
+    """Return a :class:`DatedNotice` from its fields as they were sent."""
+    notice, born = values
+    return DatedNotice(notice=Notice(*notice), born=born)
+
+
+def _is_earlier(born, other):
+    """Return whether a start is known to be before another one."""
+    return 0 < born < other
 
 
 class LocalNotice:
@@ -40,33 +57,38 @@
     """
 
     def __init__(self):
-        # The instance in the directory, and when it started.
-        self._start = ("", 0)
+        # The instance in the directory.
+        self._listed = ""
         self._reset("")
 
     def get(self, instance):
-        """Return the notice of a backend server, ``None`` if none is known."""
-        return self.current if instance == self.instance else None
+        """Return the :class:`DatedNotice` of a backend server, ``None`` if unknown."""
+        if instance != self.instance or self.current is None:
+            return None
+        return DatedNotice(notice=self.current, born=self._born)
 
     def is_leaving(self, instance):
         """Whether a backend server said that it is leaving."""
-        notice = self.get(instance)
-        return notice is not None and notice.is_leaving
+        dated = self.get(instance)
+        return dated is not None and dated.notice.is_leaving
 
     def identify(self, *, instance, born):
         """Forget the notice of an earlier start than the one in the directory.
 
-        :param born: when it started, 0 if that is not known.
+        :param born: when it started, 0 if that is unknown.
         :returns: whether the notice in force changed.
         """
-        former, known = self._start
-        is_same = instance == former
-        has_restarted = is_same and _is_restart(known, born)
-        self._start = (instance, born or (known if is_same else 0))
-        if not has_restarted and (is_same or instance == self.instance):
+        is_listed, self._listed = instance == self._listed, instance
+        if instance == self.instance:
+            has_restarted = _is_earlier(self._born, born)
+            self._born = max(self._born, born)
+            if not has_restarted:
+                return False
+        elif is_listed:
+            # An answer of the next backend server came before its entry.
             return False
         previous = self.current
-        self._reset(instance)
+        self._reset(instance, born=born)
         return (previous or EMPTY) != EMPTY
 
     def record_answer(self, *, now, sent_at, instance, notice, is_success):
@@ -96,27 +118,34 @@
             self.current = merged
         return merged != previous
 
-    def adopt(self, *, now, instance, notice):
-        """Adopt what a call tells until an answer does; return whether it is new."""
+    def adopt(self, *, now, instance, dated):
+        """Adopt what a call tells until an answer does; return whether it is new.
+
+        :param dated: a :class:`DatedNotice`.
+        """
         if self._has_answered or self.current is not None:
             return False
-        self.instance = instance
-        self.current = notice
+        if instance != self.instance:
+            self._reset(instance)
+        elif _is_earlier(dated.born, self._born):
+            return False
+        self._born = max(self._born, dated.born)
+        self.current = dated.notice
         self._named_at = now
         return True
 
-    def _reset(self, instance):
+    def _reset(self, instance, *, born=0):
         self.instance = instance
         self.current = None
+        self._born = born
         self._has_answered = False
         self._named_at = float("-inf")
 
 
 class _Heard(typing.NamedTuple):
-    """A notice of the backend server of an instance that started at ``born``."""
+    """A notice that a reply carried, and when."""
 
-    notice: Notice
-    born: int
+    dated: DatedNotice
     at: float
 
 
@@ -132,24 +161,25 @@
         self._heard = {}
 
     def get(self, instance):
-        """Return the notice of an instance, ``None`` if there is none."""
+        """Return the :class:`DatedNotice` of an instance, ``None`` if there is none."""
         heard = self._heard.get(instance)
-        return heard and heard.notice
+        return heard and heard.dated
 
-    def record(self, *, now, backend, notice, directory):
+    def record(self, *, now, backend, dated, directory):
         """Store the notice of a reply; an empty one removes that of the instance.
 
-        :param backend: the backend server that the reply is of. The reply of one that
-            has started again since tells nothing.
+        :param backend: the backend server that the reply is of.
+        :param dated: a :class:`DatedNotice`. That of an earlier start than the one in
+            the directory tells nothing.
         """
-        instance, born = backend.instance, backend.born
+        instance, born = backend.instance, dated.born or backend.born
         listed = directory.get(instance)
-        if listed is not None and _is_restart(born, listed.born):
+        if listed is not None and _is_earlier(born, listed.born):
             return
-        if notice == EMPTY:
+        if dated.notice == EMPTY:
             self._heard.pop(instance, None)
         else:
-            self._heard[instance] = _Heard(notice=notice, born=born, at=now)
+            self._heard[instance] = _Heard(dated=dated._replace(born=born), at=now)
         self._update_leaving()
 
     def apply_directory(self, *, now, directory):
@@ -159,7 +189,7 @@
             if backend is None:
                 is_over = now - heard.at > RETENTION_SECONDS
             else:
-                is_over = _is_restart(heard.born, backend.born)
+                is_over = _is_earlier(heard.dated.born, backend.born)
             if is_over:
                 del self._heard[instance]
         self._update_leaving()
@@ -168,5 +198,5 @@
         self.leaving = frozenset(
             instance
             for instance, heard in self._heard.items()
-            if heard.notice.is_leaving
+            if heard.dated.notice.is_leaving
         )
--- a/src/jackdawlanding/mesh/dispatcher.py
+++ b/src/jackdawlanding/mesh/dispatcher.py
@@ -241,7 +241,7 @@
             self._notices.record(
                 now=now,
                 backend=exchange.backend,
-                notice=notices.Notice(*reply.notice),
+                dated=notices.make_dated(reply.notice),
                 directory=self._fleet_state.directory,
             )
         if exchange.respond is None or number != exchange.number:
--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -300,8 +300,8 @@
         backend = self.backend
         if backend is not None and backend.instance != call.instance:
             return
-        now, notice = time.monotonic(), notices.Notice(*call.notice)
-        if self.notice.adopt(now=now, instance=call.instance, notice=notice):
+        now, dated = time.monotonic(), notices.make_dated(call.notice)
+        if self.notice.adopt(now=now, instance=call.instance, dated=dated):
             self._apply_notice(now, "peer")
 
     def _identify_notice(self, backend):
@@ -311,8 +311,9 @@
 
     def _make_notice(self, call):
         """Return the notice for a reply; an empty one only corrects another."""
-        notice = self.notice.get(call.instance)
-        return None if notice == notices.EMPTY and call.notice is None else notice
+        dated = self.notice.get(call.instance)
+        is_empty = dated is None or dated.notice == notices.EMPTY
+        return None if is_empty and call.notice is None else dated
 
     def _apply_notice(self, now, source):
         notice = self.notice.current or notices.EMPTY
--- a/src/jackdawlanding/mesh/messages.py
+++ b/src/jackdawlanding/mesh/messages.py
@@ -24,8 +24,8 @@
     latency target. ``headers`` is a flat sequence of names and values.
     ``is_nested`` tells that a backend server made the request, and
     ``retry_probability`` how likely it is that the request was sent before (0 to 1).
-    ``notice`` holds the fields of the :class:`notices.Notice` that the sender knows of
-    the backend server, ``None`` without one.
+    ``notice`` is the :class:`notices.DatedNotice` that the sender knows of the backend
+    server, ``None`` without one.
     """
 
     number: int
@@ -64,8 +64,8 @@
     """Ends a call.
 
     ``outcome`` is the value of an ``outcomes.Outcome``; ``arrived`` tells that
-    the request reached the backend server, whether it ran or not. ``notice`` holds the
-    fields of the :class:`notices.Notice` of the backend server, ``None`` without one.
+    the request reached the backend server, whether it ran or not. ``notice`` is
+    the :class:`notices.DatedNotice` of the backend server, ``None`` without one.
     """
 
     number: int
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -7,6 +7,7 @@
 import msgpack
 from hypothesis import given, settings, strategies
 
+from jackdawlanding.decisions import notices
 from jackdawlanding.mesh import codec, messages
 from tests import calls
 
@@ -45,12 +46,13 @@
     def test_a_last_field_without_a_value_is_left_out(self):
         """Daemons of an earlier version do not know the field."""
         call = make_call(1)
-        named = call._replace(notice=(2.5, False))
+        dated = notices.DatedNotice(notice=notices.Notice(rate=2.5), born=7)
+        named = call._replace(notice=dated)
         plain, longer = (codec.Encoder().encode(each) for each in (call, named))
         self.assertEqual(len(msgpack.unpackb(plain)), len(call._fields))
         self.assertEqual(codec.Decoder().feed(plain), [call])
         received = codec.Decoder().feed(longer)[0]
-        self.assertEqual(tuple(received.notice), named.notice)
+        self.assertEqual(notices.make_dated(received.notice), dated)
 
     @settings(max_examples=80, derandomize=True)
     @given(
--- a/tests/test_mesh_notices.py
+++ b/tests/test_mesh_notices.py
@@ -169,6 +169,26 @@
             self.assertEqual(desk.call("/pay/3", method="POST", number="3")[0], 200)
             self.assertEqual(near.backend_server.runs[1:], ["2", "3"])
 
+    def test_a_leave_does_not_pass_to_the_next_start_under_the_same_name(self):
+        with self.make() as mesh:
+            desk, near, region, far = mesh.members
+            near.backend_server.notice = {"Server-Leaving": "1"}
+            self.assertEqual(desk.call("/pay/1", method="POST")[0], 200)
+            apply_backend = near.daemon.executor.apply_backend
+            near.daemon.executor.apply_backend = lambda: None
+            near.backend_server.notice = {}
+            entry = near.backend_server.make_entry(host=near.host)
+            mesh.store.put("servers/i-1", {**entry, "born": 2})
+            meshes.wait_until(
+                lambda: desk.daemon.fleet_state.directory.get("i-1").born == 2
+            )
+            time.sleep(0.1)
+            self.assertEqual(desk.call("/pay/2", method="POST")[0], 200)
+            near.run_in_loop(apply_backend)
+            time.sleep(0.3)
+            self.assertEqual(desk.call("/pay/3", method="POST", number="3")[0], 200)
+            self.assertEqual(near.backend_server.runs[1:], ["3"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -53,18 +53,29 @@
         self.assertFalse(self.adopt(LIMITED, now=4.0))
         self.assertEqual(self.local.current, notices.EMPTY)
 
-    def adopt(self, notice, *, now):
-        return self.local.adopt(now=now, instance="i-1", notice=notice)
+    def adopt(self, notice, *, now, born=0):
+        dated = notices.DatedNotice(notice=notice, born=born)
+        return self.local.adopt(now=now, instance="i-1", dated=dated)
+
+    def test_a_call_does_not_tell_of_an_earlier_start(self):
+        self.local.identify(instance="i-1", born=2)
+        self.assertFalse(self.adopt(LEAVING, now=1.0, born=1))
+        self.assertTrue(self.adopt(LIMITED, now=1.0, born=3))
+        self.assertFalse(self.local.identify(instance="i-1", born=3))
+        self.assertEqual(self.get("i-1"), LIMITED)
 
     def test_a_notice_is_of_the_backend_server_that_gave_it(self):
         self.record(LEAVING, now=1.0)
         self.assertFalse(self.local.is_leaving("i-2"))
         self.assertIsNone(self.local.get("i-2"))
 
+    def get(self, instance):
+        return self.local.get(instance).notice
+
     def test_an_answer_of_the_next_backend_server_ends_the_notice(self):
         self.record(LIMITED, now=1.0)
         self.assertTrue(self.record(notices.EMPTY, now=1.1, instance="i-2"))
-        self.assertEqual(self.local.get("i-2"), notices.EMPTY)
+        self.assertEqual(self.get("i-2"), notices.EMPTY)
 
     def test_another_start_in_the_directory_ends_the_notice(self):
         for instance, born in (("i-1", 2), ("i-2", 1)):
@@ -86,9 +97,9 @@
         self.local.identify(instance="i-1", born=1)
         self.record(LIMITED, now=1.0, instance="i-2")
         self.assertFalse(self.local.identify(instance="i-1", born=1))
-        self.assertEqual(self.local.get("i-2"), LIMITED)
+        self.assertEqual(self.get("i-2"), LIMITED)
         self.assertFalse(self.local.identify(instance="i-2", born=1))
-        self.assertEqual(self.local.get("i-2"), LIMITED)
+        self.assertEqual(self.get("i-2"), LIMITED)
 
 
 class RemoteNoticesTest(unittest.TestCase):
@@ -99,12 +110,12 @@
     def make(self, instance, *, born):
         return directory.Backend(instance, "desk", "h", 1, "a1", 4, False, born=born)
 
-    def record(self, *, now, notice):
-        """Record a notice of the first start of an instance."""
+    def record(self, *, now, notice, born=1, told=0):
+        """Record a notice of an instance, by default of its first start."""
         self.remote.record(
             now=now,
-            backend=self.make("i", born=1),
-            notice=notice,
+            backend=self.make("i", born=born),
+            dated=notices.DatedNotice(notice=notice, born=told),
             directory=self.directory,
         )
 
@@ -117,7 +128,7 @@
 
     def test_an_empty_notice_removes_the_one_before(self):
         self.record(now=0.0, notice=LIMITED)
-        self.assertEqual(self.remote.get("i"), LIMITED)
+        self.assertEqual(self.remote.get("i").notice, LIMITED)
         self.record(now=1.0, notice=notices.EMPTY)
         self.assertIsNone(self.remote.get("i"))
 
@@ -152,6 +163,19 @@
         self.record(now=1.0, notice=LEAVING)
         self.assertEqual(self.remote.leaving, frozenset())
 
+    def test_a_daemon_that_knows_an_earlier_start_tells_nothing_of_the_next(self):
+        self.put("i", born=2)
+        self.record(now=1.0, notice=LEAVING, born=2, told=1)
+        self.assertEqual(self.remote.leaving, frozenset())
+
+    def test_a_notice_of_a_start_that_is_not_in_the_directory_yet_holds(self):
+        self.put("i", born=1)
+        self.record(now=1.0, notice=LEAVING, born=1, told=2)
+        for born in (1, 2):
+            self.put("i", born=born)
+            self.remote.apply_directory(now=1.0, directory=self.directory)
+            self.assertEqual(self.remote.leaving, {"i"})
+
     def test_notices_of_instances_that_are_gone_are_forgotten_in_the_end(self):
         self.record(now=0.0, notice=LEAVING)
         now = notices.RETENTION_SECONDS + 1
