Wait in a stop of the first daemon until its answers are written

A caller that reads slowly, and a daemon that does, lost an answer in a planned stop of the first daemon: 3.9 of 6.3 MB arrived, then the connection ended.

Cause: a stop counted the requests in progress, and a request ends when its answer is made; the thread that writes it was cut when the reactor closed its sockets.

Change: the reactor counts the sockets that are served, until what is sent to them is written, and a stop waits for that instead.

Evidence: the test failed with IncompleteRead.

--- a/src/jackdawlanding/daemon/app.py
+++ b/src/jackdawlanding/daemon/app.py
@@ -138,7 +138,7 @@
         busy = controller.in_flight + controller.queued + len(self.context.active_calls)
         return (
             not busy
-            and not self.ingress.busy_count
+            and not self._reactor.busy_count
             and seconds > SHUTDOWN_NOTICE_SECONDS
         )
 
--- a/src/jackdawlanding/daemon/ingress.py
+++ b/src/jackdawlanding/daemon/ingress.py
@@ -39,11 +39,6 @@
         self._busy_count = 0
         self._busy_lock = threading.Lock()
 
-    @property
-    def busy_count(self):
-        """Number of requests from callers and peers in progress."""
-        return self._busy_count
-
     def serve_caller(self, request):
         """Answer a request from outside; any Jackdaw headers in it are ignored."""
         started_at = time.monotonic()
--- a/src/jackdawlanding/daemon/reactor.py
+++ b/src/jackdawlanding/daemon/reactor.py
@@ -46,6 +46,8 @@
         self._handlers = {}
         self._lock = threading.Lock()
         self._stopping = threading.Event()
+        self._busy_count = 0
+        self._busy_lock = threading.Lock()
         self._thread_count = threads
         self._pool = concurrent.futures.ThreadPoolExecutor(
             max_workers=threads, thread_name_prefix=name
@@ -59,6 +61,11 @@
         """The number of sockets that are watched or being served."""
         return len(self._handlers)
 
+    @property
+    def busy_count(self):
+        """The number of sockets being served, until what is sent to them is written."""
+        return self._busy_count
+
     def start(self):
         """Start the workers."""
         for _ in range(self._thread_count):
@@ -76,8 +83,11 @@
             handler.close()
 
     def spawn(self, function, *arguments):
-        """Run a function on a background thread, not on a worker."""
-        return self._background_pool.submit(function, *arguments)
+        """Run a function that serves a socket on a background thread."""
+        self._change_busy_count(1)
+        future = self._background_pool.submit(function, *arguments)
+        future.add_done_callback(lambda _: self._change_busy_count(-1))
+        return future
 
     def add(self, handler):
         """Watch a handler's socket."""
@@ -122,7 +132,12 @@
                 if handler:
                     self._serve(handler)
 
+    def _change_busy_count(self, amount):
+        with self._busy_lock:
+            self._busy_count += amount
+
     def _serve(self, handler):
+        self._change_busy_count(1)
         try:
             action = handler.on_readable()
         except OSError:
@@ -130,6 +145,8 @@
         except Exception:
             logger.exception("reactor: a handler failed.")
             action = SocketAction.CLOSE
+        finally:
+            self._change_busy_count(-1)
         if action is SocketAction.WATCH:
             self.rearm(handler)
         elif action is SocketAction.CLOSE:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,6 +1,7 @@
 """Failures of processes: kills, freezes, platform outages and planned stops."""
 
 import contextlib
+import json
 import signal
 import threading
 import time
@@ -217,6 +218,22 @@
         served = sum(1 for reply in replies if reply.status == 200)
         self.assertGreaterEqual(served / len(replies), 0.9)
 
+    def test_a_stop_waits_until_a_slow_caller_has_read_its_answer(self):
+        leaving = self.nodes[0]
+        connection = support.http.client.HTTPConnection(
+            "127.0.0.1", leaving.caller_port, timeout=10
+        )
+        self.addCleanup(connection.close)
+        body = bytes(1 << 20)
+        connection.request("POST", "/payouts", body, {"Idempotency-Key": "slow"})
+        support.wait_until(lambda: self.count_runs("slow"))
+        time.sleep(1.0)
+        leaving.daemon.send_signal(signal.SIGTERM)
+        time.sleep(2.5)
+        answer = json.loads(connection.getresponse().read())
+        self.assertEqual(len(answer["body"]), len(body))
+        self.assertEqual(leaving.daemon.wait(10), 0)
+
     def pay_or_ask(self, node, number):
         """Make a call; return its reply, or ``None`` if it was cut off in flight.
 
