Take back a leave of an unknown start once a start is known

A backend server that left and started again could stay unused: the daemon beside it restarted, was told of the leave before it had read the directory, and kept it for the next start, which was the first that it read of.

Cause: what is heard before the first entry was attributed to whatever start that entry names. A limit of the former start is lifted by the next answers; a leave is never.

Change: the first known start takes back a leave that came before it. If it is the same start, its next answer says again that it leaves; daemons that heard it know better.

--- a/src/jackdawlanding/decisions/notices.py
+++ b/src/jackdawlanding/decisions/notices.py
@@ -75,21 +75,22 @@
     def identify(self, *, instance, born):
         """Forget the notice of an earlier start than the one in the directory.
 
+        An entry of another backend server that was known before ends no notice: an
+        answer of the next one may come before its entry.
+
         :param born: when it started, 0 if that is unknown.
         :returns: whether the notice in force changed.
         """
         is_listed, self._listed = instance == self._listed, instance
+        previous = self.current or EMPTY
         if instance == self.instance:
-            has_restarted = _is_earlier(self._born, born)
-            self._born = max(self._born, born)
-            if not has_restarted:
-                return False
-        elif is_listed:
-            # An answer of the next backend server came before its entry.
-            return False
-        previous = self.current
-        self._reset(instance, born=born)
-        return (previous or EMPTY) != EMPTY
+            if _is_earlier(self._born, born):
+                self._reset(instance, born=born)
+            elif self._born == 0 < born:
+                self._attribute(born)
+        elif not is_listed:
+            self._reset(instance, born=born)
+        return (self.current or EMPTY) != previous
 
     def record_answer(self, *, now, sent_at, instance, notice, is_success):
         """Merge the notice of an answer; return whether the current one changed.
@@ -134,6 +135,16 @@
         self._named_at = now
         return True
 
+    def _attribute(self, born):
+        """Attribute a notice of an unknown start to the first one that is known.
+
+        That one may be later than the leave of the unknown one. If it is not, its
+        next answer says again that it leaves.
+        """
+        self._born = born
+        if self.current is not None:
+            self.current = self.current._replace(is_leaving=False)
+
     def _reset(self, instance, *, born=0):
         self.instance = instance
         self.current = None
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -86,6 +86,12 @@
             self.assertTrue(self.local.identify(instance=instance, born=born))
             self.assertFalse(self.local.is_leaving("i-1"))
 
+    def test_the_first_entry_of_a_start_ends_a_leave_of_an_unknown_one(self):
+        """It may be the next start; a limit is lifted by its answers."""
+        self.record(LEAVING._replace(rate=5.0), now=1.0)
+        self.assertTrue(self.local.identify(instance="i-1", born=2))
+        self.assertEqual(self.get("i-1"), LIMITED)
+
     def test_an_entry_that_does_not_tell_the_start_ends_no_notice(self):
         self.local.identify(instance="i-1", born=1)
         self.record(LEAVING, now=1.0)
