Tell starts of a backend server apart where daemons learn of them late

- A leave that a caller's daemon had passed on was forgotten, and requests reached the leaving server: the daemon beside it knew an earlier start and dated the leave by that one, or a reply that was overtaken took the leave back.
- A server that started again stayed unused: a refusal of a daemon that knew no start was taken for a word of the start that was called.
- A limit was lost at a new start in the directory, though it was the new start that had named it.

Cause: the directory reaches daemons at different times, so that nobody knows for sure which start an answer came from. Each rule took one possibility for certain.

Change: each doubt has one answer. An answer is of the start that was called or a later one; a refusal only of the start that it names; a leave ends with a later start and is else never taken back; a limit holds until an answer lifts it.

The machine supposes that a server serves for longer than the directory takes to the daemons that call it.

--- a/src/jackdawlanding/decisions/notices.py
+++ b/src/jackdawlanding/decisions/notices.py
@@ -84,10 +84,7 @@
         is_listed, self._listed = instance == self._listed, instance
         previous = self.current or EMPTY
         if instance == self.instance:
-            if _is_earlier(self._born, born):
-                self._reset(instance, born=born)
-            elif self._born == 0 < born:
-                self._attribute(born)
+            self._attribute(born)
         elif not is_listed:
             self._reset(instance, born=born)
         return (self.current or EMPTY) != previous
@@ -124,26 +121,29 @@
 
         :param dated: a :class:`DatedNotice`.
         """
-        if self._has_answered or self.current is not None:
-            return False
         if instance != self.instance:
             self._reset(instance)
-        elif _is_earlier(dated.born, self._born):
+        if self._has_answered or self.current is not None:
+            return False
+        notice = dated.notice
+        if _is_earlier(dated.born, self._born):
+            notice = notice._replace(is_leaving=False)
+        if notice == EMPTY:
             return False
         self._born = max(self._born, dated.born)
-        self.current = dated.notice
+        self.current = notice
         self._named_at = now
         return True
 
     def _attribute(self, born):
-        """Attribute a notice of an unknown start to the first one that is known.
+        """Take back a leave that may be of an earlier start than a known one.
 
-        That one may be later than the leave of the unknown one. If it is not, its
-        next answer says again that it leaves.
+        The next answer tells of the leave again if it is of the same start, and
+        lifts the limit if it is not.
         """
-        self._born = born
-        if self.current is not None:
-            self.current = self.current._replace(is_leaving=False)
+        if born > self._born:
+            self._born = born
+            self.current = self.current and self.current._replace(is_leaving=False)
 
     def _reset(self, instance, *, born=0):
         self.instance = instance
@@ -176,35 +176,48 @@
         heard = self._heard.get(instance)
         return heard and heard.dated
 
-    def record(self, *, now, backend, dated, directory):
-        """Store the notice of a reply; an empty one removes that of the instance.
+    def record(self, *, now, backend, dated, is_answer, directory):
+        """Store the notice of a reply; an empty one lifts the limit of the instance.
 
-        :param backend: the backend server that the reply is of.
-        :param dated: a :class:`DatedNotice`. That of an earlier start than the one in
-            the directory tells nothing.
+        :param backend: the backend server that the call was for.
+        :param dated: a :class:`DatedNotice`.
+        :param is_answer: whether the reply has an answer of the backend server, which
+            is then of this start or a later one. A refusal may come from a daemon that
+            has not heard of this start.
         """
-        instance, born = backend.instance, dated.born or backend.born
+        instance, notice = backend.instance, dated.notice
+        born = max(dated.born, backend.born) if is_answer else dated.born
         listed = directory.get(instance)
-        if listed is not None and _is_earlier(born, listed.born):
-            return
-        if dated.notice == EMPTY:
-            self._heard.pop(instance, None)
-        else:
-            self._heard[instance] = _Heard(dated=dated._replace(born=born), at=now)
+        if listed is not None and (not born or born < listed.born):
+            notice = notice._replace(is_leaving=False)
+        known = self.get(instance)
+        if known and known.notice.is_leaving and not _is_earlier(known.born, born):
+            # Replies arrive in any order, and a leave is never taken back.
+            notice, born = notice._replace(is_leaving=True), known.born
+        self._store(instance, DatedNotice(notice=notice, born=born), now)
         self._update_leaving()
 
     def apply_directory(self, *, now, directory):
-        """Drop the notices of backend servers that have ended."""
-        for instance, heard in list(self._heard.items()):
+        """Drop the leaves of backend servers that have ended.
+
+        A limit holds until an answer of the next start lifts it.
+        """
+        for instance, (dated, at) in list(self._heard.items()):
             backend = directory.get(instance)
             if backend is None:
-                is_over = now - heard.at > RETENTION_SECONDS
-            else:
-                is_over = _is_earlier(heard.dated.born, backend.born)
-            if is_over:
-                del self._heard[instance]
+                if now - at > RETENTION_SECONDS:
+                    del self._heard[instance]
+            elif _is_earlier(dated.born, backend.born):
+                notice = dated.notice._replace(is_leaving=False)
+                self._store(instance, dated._replace(notice=notice), at)
         self._update_leaving()
 
+    def _store(self, instance, dated, at):
+        if dated.notice == EMPTY:
+            self._heard.pop(instance, None)
+        else:
+            self._heard[instance] = _Heard(dated=dated, at=at)
+
     def _update_leaving(self):
         self.leaving = frozenset(
             instance
--- a/src/jackdawlanding/mesh/dispatcher.py
+++ b/src/jackdawlanding/mesh/dispatcher.py
@@ -242,6 +242,7 @@
                 now=now,
                 backend=exchange.backend,
                 dated=notices.make_dated(reply.notice),
+                is_answer=reply.outcome == outcomes.Outcome.DONE,
                 directory=self._fleet_state.directory,
             )
         if exchange.respond is None or number != exchange.number:
