--- a/src/jackdawlanding/decisions/notices.py
+++ b/src/jackdawlanding/decisions/notices.py
@@ -73,7 +73,7 @@
         return dated is not None and dated.notice.is_leaving
 
     def identify(self, *, instance, born):
-        """Forget the notice of an earlier start than the one in the directory.
+        """Forget a leave of an earlier start, and the notice of another server.
 
         An entry of another backend server that was known before ends no notice: an
         answer of the next one may come before its entry.
