Ask the rate limit only where one is named

Cause: each estimate of a wait asked the rate limit, and each reply built a notice, also at servers that name nothing.

Change: no rate, no question; no notice, no record of it.

--- a/src/jackdawlanding/decisions/notices.py
+++ b/src/jackdawlanding/decisions/notices.py
@@ -69,8 +69,9 @@
 
     def is_leaving(self, instance):
         """Whether a backend server said that it is leaving."""
-        dated = self.get(instance)
-        return dated is not None and dated.notice.is_leaving
+        return instance == self.instance and bool(
+            self.current and self.current.is_leaving
+        )
 
     def identify(self, *, instance, born):
         """Forget a leave of an earlier start, and the notice of another server.
--- a/src/jackdawlanding/decisions/slots.py
+++ b/src/jackdawlanding/decisions/slots.py
@@ -131,12 +131,14 @@
 
     def estimate_wait(self, *, now, ahead):
         """Return the seconds until a job runs that has ``ahead`` others before it."""
-        delay = self.rate_limit.get_delay(now=now, ahead=ahead)
-        free = self.limit - self.running
+        limit, delay = self.limit, 0.0
+        if self.rate_limit.rate is not None:
+            delay = self.rate_limit.get_delay(now=now, ahead=ahead)
+        free = limit - self.running
         if free > ahead:
             return delay
         missing = ahead - max(0, free) + 1
-        return max(delay, missing * self.mean_seconds / self.limit)
+        return max(delay, missing * self.mean_seconds / limit)
 
     def get_delay(self, *, now):
         """Return the seconds until the rate limit lets the next waiting job start.
--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -311,9 +311,10 @@
 
     def _make_notice(self, call):
         """Return the notice for a reply; an empty one only corrects another."""
-        dated = self.notice.get(call.instance)
-        is_empty = dated is None or dated.notice == notices.EMPTY
-        return None if is_empty and call.notice is None else dated
+        is_empty = (self.notice.current or notices.EMPTY) == notices.EMPTY
+        if is_empty and call.notice is None:
+            return None
+        return self.notice.get(call.instance)
 
     def _apply_notice(self, now, source):
         notice = self.notice.current or notices.EMPTY
