Tell callers the Retry-After of a backend server that refuses them

Callers saw 0.3 s, whatever the backend server that had not run their request asked for, and came back too soon.

Found by looking through the headers that the adapter names: this one was only written.

Change: a refusal that names a number of seconds is reported with it. Other values are logged and ignored, and a large one is bounded.

Before: the test got 0.3 for 1.25 and for 1e308. After: 1.25 and 3600.

--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -273,7 +273,17 @@
             self.health.record_lost_call(execution.call)
         elif outcome is classification.DONE and execution.fingerprint:
             self._fleet_state.quarantine.clear(fingerprint=execution.fingerprint)
-        self._reply(execution, outcome, arrived, reason, result.response)
+        retry_after = 0.0
+        if outcome is classification.NOT_RUN and result.response is not None:
+            retry_after = answers.decode_retry_after(result.response)
+        self._reply(
+            execution,
+            outcome,
+            arrived,
+            reason,
+            result.response,
+            retry_after=retry_after,
+        )
         self._run_next()
 
     def _record_notice(self, now, execution, outcome, response):
--- a/tests/test_mesh_answers.py
+++ b/tests/test_mesh_answers.py
@@ -113,6 +113,16 @@
         self.assertGreater(float(headers["Retry-After"]), 0)
         self.assertNotIn("shed-1", self.backend_server.runs)
 
+    def test_a_backend_server_s_retry_after_reaches_the_caller(self):
+        self.backend_server.behaviours["/pay/shed"] = "shed"
+        self.addCleanup(setattr, self.backend_server, "notice", {})
+        for value, seconds in (("1.25", 1.25), ("soon", 0.3), ("1e308", 3600.0)):
+            with self.subTest(value=value):
+                self.backend_server.notice = {"Retry-After": value}
+                status, headers, _ = self.call("/pay/shed", method="POST")
+                self.assertEqual(status, 503)
+                self.assertEqual(float(headers["Retry-After"]), seconds)
+
     def test_the_route_s_timeout_is_a_504(self):
         self.backend_server.behaviours["/brief/late"] = "late"
         started_at = time.monotonic()
