Cut, delay and silence the links between the daemons of the soak

Until now only the connections to backend servers and the store went through proxies. Daemons listened where their peers connect, so that no proxy fitted in between: a daemon behind a port forwarder now has peer_listen_port.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,6 @@
 		tests.test_fuzz_admission tests.test_fuzz_publications \
 		tests.test_fuzz_slots tests.test_fuzz_gossip tests.test_fuzz_notices
 
-# Real daemons under overlapping faults; CI runs two seeds.
+# Real daemons under overlapping faults; CI runs three seeds.
 soak: .venv/ready
 	$(BIN)/python -m tests.soak --first $(FIRST) --count $(COUNT) --size $(SIZE)
--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -236,7 +236,7 @@
         )
         self._peer_listener = streams.Listener(
             loop=self.loop,
-            address=(settings.host, settings.peer_port),
+            address=(settings.host, settings.peer_listen_port or settings.peer_port),
             accept=self.link_server.accept,
             user_timeout_millis=streams.USER_TIMEOUT_MILLIS,
         )
--- a/src/jackdawlanding/settings/mesh_settings.py
+++ b/src/jackdawlanding/settings/mesh_settings.py
@@ -12,8 +12,9 @@
 class MeshSettings(typing.NamedTuple):
     """The settings of one mesh daemon; durations are in seconds.
 
-    ``host`` is this instance's IP address. Each daemon listens for its peers on
-    ``peer_port``. ``failure_domains`` maps each failure domain to its region.
+    ``host`` is this instance's IP address. Peers connect to ``peer_port`` of each
+    other's hosts; a daemon behind a port forwarder listens on ``peer_listen_port``
+    instead. ``failure_domains`` maps each failure domain to its region.
     Of all daemons together, the retries that reach a service in any
     ``retry_window`` are at most ``retry_ratio`` of its requests, plus
     ``retry_slack``. The defaults are the platform's usual limits, without slack.
@@ -35,6 +36,7 @@
     retry_ratio: float = 0.2
     retry_window: float = 10.0
     retry_slack: float = 0.0
+    peer_listen_port: int = 0
 
     def is_in_other_region(self, failure_domain):
         """Return whether a failure domain is in another region.
--- a/tests/proxies.py
+++ b/tests/proxies.py
@@ -5,16 +5,19 @@
 import socket
 import struct
 import threading
+import time
 
 
 class Proxy:
-    """Forwards TCP connections; can silence or reset them.
+    """Forwards TCP connections; can silence, reset or delay them.
 
     Connections that are open at :meth:`go_silent` stay silent; later ones work.
+    ``delay`` holds up whatever is forwarded, in seconds.
     """
 
     def __init__(self, *, host, port, target):
         self.port = port
+        self.delay = 0.0
         self._target = target
         self._pairs = []
         self._silent = set()
@@ -22,8 +25,12 @@
         self.is_refusing = False
         threading.Thread(target=self._accept, daemon=True).start()
 
-    def go_silent(self):
-        self._silent.update(id(pair) for pair in self._pairs)
+    def go_silent(self, *, only_answers=False):
+        """Drop what open connections carry; with ``only_answers``, only one way."""
+        for inbound, outbound in self._pairs:
+            self._silent.add(outbound)
+            if not only_answers:
+                self._silent.add(inbound)
 
     def reset_all(self):
         pairs, self._pairs = self._pairs, []
@@ -62,13 +69,15 @@
                 data = source.recv(65536)
                 if pair not in self._pairs:
                     return
-                is_silent = id(pair) in self._silent
+                is_silent = source in self._silent
                 if not data and not is_silent:
                     sink.shutdown(socket.SHUT_WR)
                 if not data:
                     return
                 if is_silent:
                     continue
+                if self.delay:
+                    time.sleep(self.delay)
                 sink.sendall(data)
             except OSError:
                 return
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -28,6 +28,7 @@
 PROGRAM = pathlib.Path(__file__).parents[1] / "deploy" / "jackdawd.py"
 GRACE_SECONDS = 6
 SECONDS = 16.0
+FAULT_COUNT = 16
 CALLERS = 14
 CALLER_TIMEOUT_SECONDS = 12
 DEADLINE_MILLIS = 5000
@@ -71,8 +72,9 @@
 class Member:
     """A daemon in a process of its own, and its backend server.
 
-    The daemon reaches the backend server and the store through proxies. ``source``
-    changes with each restart and freeze, which excuse what came before.
+    The daemon reaches the backend server and the store through proxies, and is reached
+    through one by its peers. ``source`` changes with each restart and freeze, which
+    excuse what came before.
     """
 
     def __init__(self, *, soak, number, peer_port):
@@ -87,10 +89,13 @@
                 self.backend_server.behaviours[f"/{route}/{behaviour}"] = behaviour
         self.ports = {
             name: meshes.find_free_port(self.host)
-            for name in ("outbound", "ready", "pages")
+            for name in ("outbound", "ready", "pages", "peers")
         }
         self.backend_proxy = self._make_proxy((self.host, self.backend_server.port))
         self.store_proxy = self._make_proxy(soak.store.bound_address)
+        self.link_proxy = proxies.Proxy(
+            host=self.host, port=peer_port, target=(self.host, self.ports["peers"])
+        )
         self.disturbed = []
         self.busy = threading.Lock()
         self.announcing = threading.Lock()
@@ -121,6 +126,7 @@
             self.process.wait()
         self.backend_proxy.stop()
         self.store_proxy.stop()
+        self.link_proxy.stop()
         self.backend_server.stop()
 
     def make_entry(self):
@@ -180,6 +186,7 @@
             readiness_port=self.ports["ready"],
             metrics_port=self.ports["pages"],
             peer_port=peer_port,
+            peer_listen_port=self.ports["peers"],
             store_address=f"{self.host}:{self.store_proxy.port}",
             grace_seconds=GRACE_SECONDS,
         )
@@ -290,7 +297,7 @@
         """Return functions that each wait for their moment and play one fault."""
         draw = self.random
         faults = []
-        for kind in draw.choices(FAULTS, k=12):
+        for kind in draw.choices(FAULTS, k=FAULT_COUNT):
             member, moment = draw.choice(self.members), draw.uniform(0.5, SECONDS - 7)
             values = draw.random(), draw.random()
 
@@ -545,9 +552,29 @@
         member.store_proxy.reset_all()
 
 
+def reset_links(soak, member, share, *values):
+    """Reset the connections of peers to a daemon, again and again."""
+    for _ in range(1 + int(10 * share)):
+        member.link_proxy.reset_all()
+        time.sleep(0.1)
+
+
+def silence_links(soak, member, share, *values):
+    """Silence the connections of peers to a daemon, at times only its answers."""
+    member.link_proxy.go_silent(only_answers=share > 0.5)
+
+
+def delay_links(soak, member, share, seconds, *values):
+    """Hold up what peers and a daemon send each other."""
+    member.link_proxy.delay = 0.3 * share
+    time.sleep(0.5 + 4 * seconds)
+    member.link_proxy.delay = 0.0
+
+
 FAULTS = (
     *(stop, stop, stop, kill, kill, freeze, limit, limit, leave, change, fail_store),
     *(reset_backend, silence_backend, cut_store),
+    *(reset_links, silence_links, silence_links, delay_links),
 )
 
 
--- a/tests/test_proxies.py
+++ b/tests/test_proxies.py
@@ -1,6 +1,7 @@
 """The proxy that tests interrupt connections with."""
 
 import socket
+import time
 import unittest
 
 from tests import meshes, proxies
@@ -46,6 +47,24 @@
             far.recv(1)
         self.connect()
 
+    def test_a_connection_may_be_silent_one_way(self):
+        near, far = self.connect()
+        self.proxy.go_silent(only_answers=True)
+        far.sendall(b"y")
+        near.settimeout(0.2)
+        with self.assertRaises(TimeoutError):
+            near.recv(1)
+        near.sendall(b"z")
+        self.assertEqual(far.recv(1), b"z")
+
+    def test_what_is_forwarded_may_be_delayed(self):
+        near, far = self.connect()
+        self.proxy.delay = 0.2
+        started_at = time.monotonic()
+        near.sendall(b"y")
+        self.assertEqual(far.recv(1), b"y")
+        self.assertGreaterEqual(time.monotonic() - started_at, 0.2)
+
 
 if __name__ == "__main__":
     unittest.main()
