Move what the executor does with notices into a module of its own

The class keeps the notice, applies its rate to the slots and tells of a leave. No change of behaviour: the tests of notices, stops, answers and layers pass as before.

--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -8,7 +8,7 @@
 import socket
 import time
 
-from jackdawlanding.decisions import notices, routes
+from jackdawlanding.decisions import routes
 from jackdawlanding.mesh import (
     callers,
     dispatcher,
@@ -259,7 +259,7 @@
         return http.make_text_response(200, "ready")
 
     def _make_metrics(self):
-        notice = self.executor.notice.current or notices.EMPTY
+        notice = self.executor.notice.current
         gauges = {
             "connections": self.caller_server.connection_count,
             "requests_in_flight": self.dispatcher.in_flight,
--- a/src/jackdawlanding/mesh/classification.py
+++ b/src/jackdawlanding/mesh/classification.py
@@ -1,7 +1,7 @@
 """Classification of the results of calls at the backend server."""
 
 from jackdawlanding.decisions import outcomes, pacing, quarantine
-from jackdawlanding.platform import headers
+from jackdawlanding.platform import answers, headers
 
 NOT_RUN = outcomes.Outcome.NOT_RUN
 UNKNOWN = outcomes.Outcome.UNKNOWN
@@ -38,6 +38,16 @@
     return outcome is DONE and response.status in SUCCESS_STATUSES
 
 
+def get_retry_after(outcome, response):
+    """Return after how many seconds a request that has not run may come again.
+
+    0 if its backend server, with ``response``, named none.
+    """
+    if outcome is not NOT_RUN or response is None:
+        return 0.0
+    return answers.decode_retry_after(response)
+
+
 def classify(result):
     """Return ``(outcome, arrived, reason)`` of a ``backends.Result``.
 
--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -7,9 +7,15 @@
 import logging
 import time
 
-from jackdawlanding.decisions import notices, pacing, slots, stops
-from jackdawlanding.mesh import backends, classification, health, messages
-from jackdawlanding.platform import answers, headers
+from jackdawlanding.decisions import pacing, slots, stops
+from jackdawlanding.mesh import (
+    backendnotice,
+    backends,
+    classification,
+    health,
+    messages,
+)
+from jackdawlanding.platform import headers
 from jackdawlanding.wire import http
 
 logger = logging.getLogger("jackdaw.host")
@@ -75,7 +81,12 @@
         self._pool = backends.BackendPool(loop=loop, address=address)
         self.controller = slots.SlotController(slots=1)
         self.pacing_limits = pacing.PacingLimits()
-        self.notice = notices.LocalNotice()
+        self.notice = backendnotice.BackendNotice(
+            controller=self.controller,
+            on_leaving=lambda: self._refuse_queued("draining"),
+            metrics=metrics,
+            log=log,
+        )
         self.health = health.BackendHealth(
             loop=loop,
             address=address,
@@ -121,7 +132,7 @@
             self._refuse(execution, reason, retry_after=seconds)
             return execution
         if call.notice is not None:
-            self._adopt_notice(call)
+            self.notice.adopt(call=call, backend=self.backend)
         now = time.monotonic()
         execution.job = slots.Job(
             kind=call.route,
@@ -179,7 +190,7 @@
         if backend is None:
             self._refuse_queued("gone")
             return
-        self._identify_notice(backend)
+        self.notice.identify(backend)
         if backend.slots != self.controller.slots:
             self.controller.slots = backend.slots
             logger.info(
@@ -263,9 +274,13 @@
         self._pool.send(execution.attempt, needs_recent=not call.is_safe)
 
     def _finish(self, execution, result):
-        now = time.monotonic()
         outcome, arrived, reason = classification.classify(result)
-        self._record_notice(now, execution, outcome, result.response)
+        self.notice.record_answer(
+            call=execution.call,
+            sent_at=execution.job.admitted_at,
+            outcome=outcome,
+            response=result.response,
+        )
         self._release(execution, is_success=outcome is classification.DONE)
         if reason == "unreachable":
             self.health.mark_down()
@@ -273,79 +288,16 @@
             self.health.record_lost_call(execution.call)
         elif outcome is classification.DONE and execution.fingerprint:
             self._fleet_state.quarantine.clear(fingerprint=execution.fingerprint)
-        retry_after = 0.0
-        if outcome is classification.NOT_RUN and result.response is not None:
-            retry_after = answers.decode_retry_after(result.response)
         self._reply(
             execution,
             outcome,
             arrived,
             reason,
             result.response,
-            retry_after=retry_after,
+            retry_after=classification.get_retry_after(outcome, result.response),
         )
         self._run_next()
 
-    def _record_notice(self, now, execution, outcome, response):
-        """Record what a response says of the backend server.
-
-        A misdirected request was answered by another one.
-        """
-        if response is None or outcome is classification.UNKNOWN:
-            return
-        if response.status == classification.MISDIRECTED_STATUS:
-            return
-        has_changed = self.notice.record_answer(
-            now=now,
-            sent_at=execution.job.admitted_at,
-            instance=execution.call.instance,
-            notice=answers.decode_notice(response),
-            is_success=classification.is_success(outcome, response),
-        )
-        if has_changed:
-            self._apply_notice(now, "answer")
-
-    def _adopt_notice(self, call):
-        """Adopt the notice that a call tells, if it is of this backend server."""
-        backend = self.backend
-        if backend is not None and backend.instance != call.instance:
-            return
-        now, dated = time.monotonic(), notices.make_dated(call.notice)
-        if self.notice.adopt(now=now, instance=call.instance, dated=dated):
-            self._apply_notice(now, "peer")
-
-    def _identify_notice(self, backend):
-        """Forget the notice of a former backend server at this address."""
-        if self.notice.identify(instance=backend.instance, born=backend.born):
-            self._apply_notice(time.monotonic(), "directory")
-
-    def _make_notice(self, call):
-        """Return the notice for a reply; an empty one only corrects another."""
-        is_empty = (self.notice.current or notices.EMPTY) == notices.EMPTY
-        if is_empty and call.notice is None:
-            return None
-        return self.notice.get(call.instance)
-
-    def _apply_notice(self, now, source):
-        notice = self.notice.current or notices.EMPTY
-        self.controller.rate_limit.set_rate(now=now, rate=notice.rate)
-        self._log_notice(notice, source)
-        if notice.is_leaving:
-            self._refuse_queued("draining")
-
-    def _log_notice(self, notice, source):
-        self._log.note(
-            "host",
-            "The backend server's notice changed.",
-            instance=self.notice.instance,
-            rate=notice.rate,
-            leaving=notice.is_leaving,
-            source=source,
-            arrivals=self._metrics.get("host_arrivals"),
-            running=self.controller.running,
-            queued=self.controller.queued,
-        )
-
     def _release(self, execution, *, is_success):
         if self._running.get(execution.call.request_id) is execution:
             del self._running[execution.call.request_id]
@@ -428,7 +380,7 @@
                 body=response.body if response else b"",
                 retry_after=retry_after,
                 load=self.make_load(),
-                notice=self._make_notice(call),
+                notice=self.notice.make_dated(call),
             )
         )
 
