Deliver an answer of the first daemon that has invalid bytes behind it

Callers got a 502 for a call that had run and whose whole answer had arrived.

Cause: the client of the backend server dropped what was complete before the invalid bytes if both came in one read. The mesh daemon keeps it.

Change: the answer is returned and its connection closed. A reader of responses is not reusable any more after invalid bytes; the mesh daemon closed such connections before.

Before: the test fails with "cut-short". After: both calls are answered.

--- a/src/jackdawlanding/daemon/backend.py
+++ b/src/jackdawlanding/daemon/backend.py
@@ -135,7 +135,11 @@
                 reason = "cut-short" if received else "died"
                 raise BackendError(reason=reason, sent=True)
             received = True
-            reader.feed(data)
+            try:
+                reader.feed(data)
+            except http.ResponseError:
+                if not reader.ready:
+                    raise
 
     def _take_idle(self):
         while True:
--- a/src/jackdawlanding/wire/http.py
+++ b/src/jackdawlanding/wire/http.py
@@ -290,6 +290,7 @@
         try:
             self._feed(data)
         except httptools.HttpParserError as error:
+            self._keeps_alive = False
             raise ResponseError(str(error.__context__ or error)) from None
 
     def feed_eof(self):
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -137,6 +137,14 @@
         self.assertEqual(self.call(client).status, 503)
         self.assertEqual(self.call(client, token=b"2").body, b"ok")
 
+    def test_an_answer_with_invalid_bytes_behind_it_is_delivered(self):
+        for rest in (b"\x00\x01 garbage\r\n\r\n", ANSWER[:30]):
+            with self.subTest(rest=rest):
+                server, client = self.start(ANSWER + rest, ANSWER)
+                self.assertEqual(self.call(client).body, b"ok")
+                self.assertEqual(self.call(client).body, b"ok")
+                self.assertEqual(server.connections, 2)
+
     def test_an_answer_that_ends_in_its_head_is_no_answer(self):
         server, client = self.start(ANSWER[:30])
         with self.assertRaises(backend.BackendError) as caught:
