--- a/tests/test_mesh_notices.py
+++ b/tests/test_mesh_notices.py
@@ -48,6 +48,13 @@
     )
 
 
+def hold_directory(member):
+    """Keep directory changes from an executor; return what applies them."""
+    apply_backend = member.daemon.executor.apply_backend
+    member.daemon.executor.apply_backend = lambda: None
+    return apply_backend
+
+
 class NoticesTest(meshes.FleetCase):
     def assert_within_limit(self, backend_server, *, since):
         allowed = 1.5 * LIMIT * WINDOW_SECONDS + 5
@@ -63,6 +70,15 @@
             **fields,
         )
 
+    @contextlib.contextmanager
+    def make_with_a_leave(self):
+        """Make a mesh in which the near bank has told the desk that it leaves."""
+        with self.make() as mesh:
+            desk, near, region, far = mesh.members
+            near.backend_server.notice = {"Server-Leaving": "1"}
+            self.assertEqual(desk.call("/pay/1", method="POST")[0], 200)
+            yield mesh
+
     def test_a_backend_server_gets_no_more_requests_than_its_limit(self):
         with self.make() as mesh:
             desk, near, region, far = mesh.members
@@ -113,10 +129,8 @@
             self.assertGreater(len(recent), 5 * LIMIT)
 
     def test_a_backend_server_that_says_it_leaves_gets_no_more_requests(self):
-        with self.make() as mesh:
+        with self.make_with_a_leave() as mesh:
             desk, near, region, far = mesh.members
-            near.backend_server.notice = {"Server-Leaving": "1"}
-            self.assertEqual(desk.call("/pay/1", method="POST")[0], 200)
             self.assertEqual(len(near.backend_server.runs), 1)
             near.backend_server.notice = {}
             for caller in (desk, near, region):
@@ -128,10 +142,8 @@
             self.assertEqual(len(near.backend_server.runs), 1)
 
     def test_a_backend_server_that_starts_again_under_its_name_is_used(self):
-        with self.make() as mesh:
+        with self.make_with_a_leave() as mesh:
             desk, near, region, far = mesh.members
-            near.backend_server.notice = {"Server-Leaving": "1"}
-            self.assertEqual(desk.call("/pay/1", method="POST")[0], 200)
             near.backend_server.notice = {}
             entry = near.backend_server.make_entry(host=near.host)
             mesh.store.put(
@@ -149,12 +161,9 @@
 
     def test_a_leave_does_not_pass_to_the_next_backend_server_at_the_address(self):
         """The daemon beside both may be the last to learn of the new one."""
-        with self.make() as mesh:
+        with self.make_with_a_leave() as mesh:
             desk, near, region, far = mesh.members
-            near.backend_server.notice = {"Server-Leaving": "1"}
-            self.assertEqual(desk.call("/pay/1", method="POST")[0], 200)
-            apply_backend = near.daemon.executor.apply_backend
-            near.daemon.executor.apply_backend = lambda: None
+            apply_backend = hold_directory(near)
             near.backend_server.notice = {}
             near.backend_server.instance = "i-9"
             mesh.store.put("servers/i-1", None)
@@ -170,12 +179,9 @@
             self.assertEqual(near.backend_server.runs[1:], ["2", "3"])
 
     def test_a_leave_does_not_pass_to_the_next_start_under_the_same_name(self):
-        with self.make() as mesh:
+        with self.make_with_a_leave() as mesh:
             desk, near, region, far = mesh.members
-            near.backend_server.notice = {"Server-Leaving": "1"}
-            self.assertEqual(desk.call("/pay/1", method="POST")[0], 200)
-            apply_backend = near.daemon.executor.apply_backend
-            near.daemon.executor.apply_backend = lambda: None
+            apply_backend = hold_directory(near)
             near.backend_server.notice = {}
             entry = near.backend_server.make_entry(host=near.host)
             mesh.store.put("servers/i-1", {**entry, "born": 2})
