--- a/tests/test_mesh_settings.py
+++ b/tests/test_mesh_settings.py
@@ -42,6 +42,7 @@
             ("instance", None),
             ("peer_port", "83"),
             ("peer_port", True),
+            ("peer_listen_port", "83"),
             ("backend_address", "nowhere"),
             ("grace_seconds", "long"),
             ("grace_seconds", -1),
@@ -57,6 +58,7 @@
             {**VALID, "grace_seconds": None, "retry_slack": None}
         )
         self.assertEqual((settings.grace, settings.retry_slack), (6.0, 0.0))
+        self.assertEqual(settings.peer_listen_port, 0)
 
     def test_only_a_known_domain_can_be_in_another_region(self):
         settings = mesh_settings.make(
