--- a/src/jackdawlanding/decisions/selection.py
+++ b/src/jackdawlanding/decisions/selection.py
@@ -36,8 +36,8 @@
 FAILURE_FORGET_SECONDS = 5.0
 # How long a reported load is used: requests may have ended since.
 LOAD_SECONDS = 1.0
-# How long the pace that was reported with it is used in full.
-PACE_SECONDS = 4.0
+# How long the rate of starts that was reported with it is used in full.
+RATE_SECONDS = 4.0
 # Duration assumed before the first measurement.
 INITIAL_SECONDS = 0.02
 # A known duration that has not been confirmed for longer than this counts for less.
@@ -284,7 +284,7 @@
         age = now - stats.updated_at
         if age < LOAD_SECONDS:
             return 0.0
-        return interval * min(1.0, PACE_SECONDS / age)
+        return interval * min(1.0, RATE_SECONDS / age)
 
     def _estimate_load(self, now, stats):
         if now - stats.updated_at < LOAD_SECONDS:
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -102,13 +102,13 @@
         self.selector.record_end(now=1.0, instance="i-1", load=make_load(4, 20))
         self.assertEqual(self.choose(), "i-2")
 
-    def test_an_instance_of_a_slow_pace_is_less_preferred_until_that_is_old(self):
+    def test_an_instance_that_starts_few_requests_is_less_preferred_for_a_while(self):
         load = make_load(0, seconds=8.0)
         self.selector.record_end(now=1.0, instance="i-1", load=load)
         for seconds, expected in ((0.9, "i-1"), (1.1, "i-2"), (4.0, "i-2")):
             with self.subTest(seconds=seconds):
                 self.assertEqual(self.choose(now=1.0 + seconds), expected)
-        later = 1.0 + 6 * selection.PACE_SECONDS
+        later = 1.0 + 6 * selection.RATE_SECONDS
         self.assertEqual(self.choose(now=later), "i-1")
 
     def test_failures_make_an_instance_less_preferred(self):
