--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -128,10 +128,10 @@
     for name, records in (("small", local), (f"of {size} bytes", remote)):
         for item in sorted(records, key=lambda item: item.sent_at):
             at = ran.get(item.request_id)
+            where = f"ran at {at:.3f}" if at else "not run"
             print(
                 f"{item.sent_at:9.3f} {item.request_id} {name} sent to {item.host}, "
-                f"answered {item.status} at {item.ended_at:.3f}, "
-                f"{'ran at %.3f' % at if at else 'not run'}",
+                f"answered {item.status} at {item.ended_at:.3f}, {where}",
                 file=record,
             )
             # Later ones may be the first of their connection.
