--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -85,8 +85,7 @@
         drained.backend_server.state = "draining"
         drained_at = fleet.register(drained)
         time.sleep(SECONDS_AFTER)
-        for sender in senders:
-            sender.stop()
+        callers.stop_all(senders)
         return judge(record, fleet, records, moved_at, drained_at, drained)
 
 
--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -109,10 +109,8 @@
                 for member in fleet.members[1:]
             ]
             time.sleep(WAVE_SECONDS)
-            for sender in large:
-                sender.stop()
-        for sender in senders:
-            sender.stop()
+            callers.stop_all(large)
+        callers.stop_all(senders)
         platform.stop()
         return judge(record, fleet, platform, local, remote, size)
 
--- a/review/standins/callers.py
+++ b/review/standins/callers.py
@@ -54,9 +54,12 @@
         self._thread.start()
         return self
 
-    def stop(self):
-        """Stop after the current request."""
+    def request_stop(self):
+        """Send no further request; do not wait for the current one."""
         self._stopping.set()
+
+    def wait_stopped(self):
+        """Wait until the last request has ended."""
         self._thread.join(10)
 
     def _run(self):
@@ -110,3 +113,11 @@
         if self._connection is not None:
             self._connection.close()
             self._connection = None
+
+
+def stop_all(senders):
+    """Stop callers, and wait until their last requests have ended."""
+    for sender in senders:
+        sender.request_stop()
+    for sender in senders:
+        sender.wait_stopped()
--- a/review/standins/fleets.py
+++ b/review/standins/fleets.py
@@ -7,8 +7,10 @@
 import pathlib
 import random
 import shutil
+import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -134,6 +136,8 @@
 
     def __init__(self, *, services, **fields):
         super().__init__()
+        # A script that is ended early still ends its daemons.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.network = random.randrange(2, 250)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.callback(shutil.rmtree, self.folder, ignore_errors=True)
