Keep the ports and networks of the scripts apart

A run of case 2 ended with exit 2: not all daemons were ready in 20 s. Its logs were gone, so that it was not traced.

--- a/review/standins/fleets.py
+++ b/review/standins/fleets.py
@@ -31,6 +31,11 @@
 }
 # Below the range from which the kernel draws ports of outgoing connections.
 FIRST_PORT, LAST_PORT = 10000, 30000
+# A port that a script holds in the network that it uses.
+GUARD_PORT = 30999
+FIRST_NETWORK, LAST_NETWORK = 2, 250
+
+_used_ports = set()
 
 
 class NotReadyError(Exception):
@@ -38,14 +43,30 @@
 
 
 def find_port(host):
-    """Return a free port of a loopback address."""
+    """Return a free port of a loopback address, which no earlier call returned."""
     while True:
         port = random.randrange(FIRST_PORT, LAST_PORT)
+        if port in _used_ports:
+            continue
         with socket.socket() as sock, contextlib.suppress(OSError):
             sock.bind((host, port))
+            _used_ports.add(port)
             return port
 
 
+def reserve_network():
+    """Return a number for addresses ``127.NUMBER``, and the socket that holds it."""
+    while True:
+        number = random.randrange(FIRST_NETWORK, LAST_NETWORK)
+        guard = socket.socket()
+        try:
+            guard.bind((f"127.{number}.255.1", GUARD_PORT))
+        except OSError:
+            guard.close()
+            continue
+        return number, guard
+
+
 class Member:
     """A machine: a backend server and the daemon beside it.
 
@@ -138,7 +159,8 @@
         super().__init__()
         # A script that is ended early still ends its daemons.
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-        self.network = random.randrange(2, 250)
+        self.network, guard = reserve_network()
+        self.callback(guard.close)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.callback(shutil.rmtree, self.folder, ignore_errors=True)
         self.peer_port = find_port("127.0.0.1")
@@ -169,7 +191,16 @@
         end = time.monotonic() + READY_SECONDS
         while not all(member.is_ready() for member in self.members):
             if time.monotonic() > end:
-                raise NotReadyError("not all daemons are ready")
+                hosts = [one.host for one in self.members if not one.is_ready()]
+                lines = [
+                    line
+                    for host in hosts
+                    for line in (self.folder / f"{host}.log").read_text().splitlines()
+                ]
+                raise NotReadyError(
+                    f"not ready: {hosts}, ended: {self.list_unexpected_exits()}, "
+                    f"last lines: {lines[-5:]}"
+                )
             time.sleep(0.1)
 
     def list_unexpected_exits(self):
