--- a/review/standins/fleets.py
+++ b/review/standins/fleets.py
@@ -212,9 +212,9 @@
         ]
 
     def list_errors(self):
-        """Return the daemons' log lines of the level error, without their order."""
+        """Return the last line of each error that the daemons logged, in no order."""
         return [
-            line
+            (json.loads(line).get("error") or line).splitlines()[-1]
             for path in self.folder.glob("*.log")
             for line in path.read_text().splitlines()
             if '"level": "error"' in line
