Tell by logs and metrics why changes of the store are late

The traceback of a failed handler names no item, a removal is held without a line, and nothing shows how many hosts take part in gossip.

Change: an item that raises is named with its key, revision and exception, and counted (the exception passes on as before); the start of a hold and each held removal have a line; gauges for held removals, hosts of the directory and unreachable links. No decision changes.

--- a/src/jackdawlanding/decisions/directory.py
+++ b/src/jackdawlanding/decisions/directory.py
@@ -113,6 +113,11 @@
         record = self._records.get(instance)
         return record.revision if record else 0
 
+    @property
+    def held_removals(self):
+        """Return the instances whose removal is held."""
+        return self._held_removals.keys()
+
     def list_instances(self):
         """Return the names of all instances that have a backend."""
         return [name for name, record in self._records.items() if record.backend]
@@ -171,9 +176,16 @@
 
         After an outage of the store, removals are held for a while: records expire
         during an outage although their backend servers still run.
+
+        :returns: the seconds of the outage, 0 if there was none or removals are held
+            already.
         """
-        if OUTAGE_SECONDS < now - self.confirmed_at < float("inf"):
-            self._hold_until = now + REGISTRATION_SECONDS
+        seconds = now - self.confirmed_at
+        if not OUTAGE_SECONDS < seconds < float("inf"):
+            return 0.0
+        was_holding = now < self._hold_until
+        self._hold_until = now + REGISTRATION_SECONDS
+        return 0.0 if was_holding else seconds
 
     def apply_held_removals(self, *, now):
         """Apply held removals that are due, and forget old removals.
--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -270,6 +270,9 @@
             "host_is_leaving": int(notice.is_leaving),
             "host_paced_kinds": len(self.executor.pacing_limits.list_limits()),
             "configuration_version": self.fleet_state.configuration_version,
+            "directory_hosts": len(self.fleet_state.directory.hosts),
+            "directory_held_removals": len(self.fleet_state.directory.held_removals),
+            "links_unreachable": self.links.unreachable_count,
             "directory_revision": self.fleet_state.directory.complete_revision,
             "knowledge_age_seconds": round(
                 min(1e6, self.fleet_state.get_age(time.monotonic())), 3
--- a/src/jackdawlanding/mesh/gossip.py
+++ b/src/jackdawlanding/mesh/gossip.py
@@ -103,11 +103,24 @@
         self._notify("configuration")
         return True
 
+    def record_store_contact(self, *, now, source):
+        """Record that the store was reached, by this daemon or by a peer."""
+        seconds = self.directory.record_store_contact(now=now)
+        if seconds:
+            self._log.note(
+                "directory",
+                "Nothing was confirmed for long; removals are held.",
+                seconds=round(seconds, 3),
+                source=source,
+            )
+
     def put(self, *, instance, revision, backend, source):
         """Store one record of the directory; return whether it changed anything."""
+        held = set(self.directory.held_removals)
         changed = self.directory.put(
             now=time.monotonic(), instance=instance, revision=revision, backend=backend
         )
+        self._note_held(held, source)
         if changed:
             self._log.note(
                 "directory",
@@ -122,9 +135,11 @@
 
     def remove_unlisted(self, *, names, revision, source):
         """Remove the instances that a complete listing does not name."""
+        held = set(self.directory.held_removals)
         removed = self.directory.remove_unlisted(
             now=time.monotonic(), names=names, revision=revision
         )
+        self._note_held(held, source)
         for instance in removed:
             self._log.note(
                 "directory",
@@ -179,6 +194,12 @@
         ]
         return any(is_new)
 
+    def _note_held(self, before, source):
+        for instance in self.directory.held_removals - before:
+            self._log.note(
+                "directory", "A removal is held.", instance=instance, source=source
+            )
+
     def _try_decode(self, data, *, service):
         try:
             return versions.Decoded(ok=self._decode(data), error="")
@@ -342,7 +363,7 @@
         fleet_state = self._fleet_state
         now = time.monotonic()
         if update.age < directory.OUTAGE_SECONDS:
-            fleet_state.directory.record_store_contact(now=now)
+            fleet_state.record_store_contact(now=now, source="peer")
         if update.configuration:
             fleet_state.apply_configuration(update.configuration, source="peer")
         for name, revision, values in update.records:
--- a/src/jackdawlanding/mesh/links.py
+++ b/src/jackdawlanding/mesh/links.py
@@ -320,6 +320,11 @@
         self._links = {}
         self._numbers = itertools.count(1)
 
+    @property
+    def unreachable_count(self):
+        """The number of hosts to which calls fail at once."""
+        return sum(not link.is_reachable for link in self._links.values())
+
     def make_number(self):
         """Return a call number that is unique in this process."""
         return next(self._numbers)
--- a/src/jackdawlanding/mesh/storereader.py
+++ b/src/jackdawlanding/mesh/storereader.py
@@ -114,7 +114,7 @@
         if self._failures:
             self._log.note("store", "The store can be read again.", dependency="store")
         self._failures = 0
-        self._fleet_state.directory.record_store_contact(now=now)
+        self._fleet_state.record_store_contact(now=now, source="store")
         self._next_read_at = now + readers.READ_INTERVAL_SECONDS
         handle_page(page)
 
@@ -162,6 +162,20 @@
             self._broadcast(self._position)
 
     def _apply(self, item):
+        try:
+            self._apply_value(item)
+        except Exception as error:
+            self._metrics.count("store_items_failed")
+            self._log.note(
+                "store",
+                "An item can't be applied.",
+                key=item.key,
+                revision=item.revision,
+                reason=repr(error),
+            )
+            raise
+
+    def _apply_value(self, item):
         if item.key == documents.CONFIGURATION_KEY:
             if item.value is not None:
                 self._fleet_state.apply_configuration(item.value, source="store")
@@ -174,6 +188,7 @@
             try:
                 backend = documents.decode_backend(item.key, item.value)
             except documents.DocumentError as error:
+                self._metrics.count("store_entries_malformed")
                 self._log.note(
                     "store",
                     "A malformed entry is treated as removed.",
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -78,6 +78,15 @@
         )
         self.assertIsNone(self.directory.get("i-1"))
 
+    def test_a_hold_is_reported_once_with_its_cause_and_its_instances(self):
+        put(self.directory, 1, make_backend())
+        self.directory.confirm(revision=1, at=5.0)
+        self.assertEqual(self.directory.record_store_contact(now=6.0), 0.0)
+        self.assertEqual(self.directory.record_store_contact(now=10.0), 5.0)
+        self.assertEqual(self.directory.record_store_contact(now=10.3), 0.0)
+        put(self.directory, 2, None, now=10.5)
+        self.assertEqual(set(self.directory.held_removals), {"i-1"})
+
     def test_the_shareable_revision_excludes_held_removals(self):
         put(self.directory, 1, make_backend())
         self.directory.confirm(revision=1, at=5.0)
