Let no item of the store hold up the others of its page

Cause: an entry of another writer with an integer that fits no float raises an OverflowError in decode_backend, which is not among the exceptions that are foreseen there. It leaves the reader's loop over the page, so that the rest of the page is lost and the revision stays: each later read gets the same page, on every daemon, until the entry and then the store's history are gone. After 3 s without a confirmation that passes for an outage of the store, and removals are held for 1.8 s more.

Change: the decoders of the store's documents raise a DocumentError for whatever goes wrong in them, and an item that still fails is logged, counted and passed over. The page is confirmed, so that no outage is seen either. A configuration with such a number is refused like any other that is invalid.

--- a/src/jackdawlanding/mesh/storereader.py
+++ b/src/jackdawlanding/mesh/storereader.py
@@ -162,18 +162,15 @@
             self._broadcast(self._position)
 
     def _apply(self, item):
+        """Apply an item; one that fails must not hold up the others of its page."""
         try:
             self._apply_value(item)
-        except Exception as error:
+        except Exception:
             self._metrics.count("store_items_failed")
-            self._log.note(
-                "store",
-                "An item can't be applied.",
-                key=item.key,
-                revision=item.revision,
-                reason=repr(error),
+            logger.exception(
+                "store: An item can't be applied.",
+                extra={"fields": {"key": item.key, "revision": item.revision}},
             )
-            raise
 
     def _apply_value(self, item):
         if item.key == documents.CONFIGURATION_KEY:
--- a/src/jackdawlanding/platform/documents.py
+++ b/src/jackdawlanding/platform/documents.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import contextlib
 import json
 import math
 import socket
@@ -16,19 +17,29 @@
 _IS_SAFE = {"safe": True, "unsafe": False, "upload": False}
 # Whether a backend server in this state is draining.
 _IS_DRAINING = {"ready": False, "draining": True}
-
-
 MAXIMUM_PORT = 65535
 # The largest integer that a message to another daemon can carry.
 MAXIMUM_INTEGER = 2**63 - 1
-# What damaged or foreign data raises while it is decoded.
-_DECODING_ERRORS = (ValueError, TypeError, LookupError, AttributeError, RecursionError)
 
 
 class DocumentError(ValueError):
     """A document is malformed or invalid."""
 
 
+@contextlib.contextmanager
+def _decoding(name):
+    """Raise a :class:`DocumentError` for any exception that decoding raises.
+
+    Damaged or foreign data may raise any, such as an ``OverflowError``.
+    """
+    try:
+        yield
+    except DocumentError:
+        raise
+    except Exception as error:
+        raise DocumentError(f"{name} can't be decoded: {error!r}") from error
+
+
 class Item(typing.NamedTuple):
     """A key of the store; ``value`` is ``None`` if the key was removed."""
 
@@ -53,7 +64,7 @@
 
     :raises DocumentError: the data is not such an answer.
     """
-    try:
+    with _decoding("the store's answer"):
         document = json.loads(data)
         entries = document["events"] if "events" in document else document["items"]
         return Page(
@@ -61,10 +72,6 @@
             revision=int(document["at"]),
             has_more=bool(document.get("hasMore")),
         )
-    except _DECODING_ERRORS as error:
-        raise DocumentError(
-            f"the store's answer can't be decoded: {error!r}"
-        ) from error
 
 
 def _decode_item(entry):
@@ -87,7 +94,7 @@
 
     :raises DocumentError: the data is malformed, or a route in it is invalid.
     """
-    try:
+    with _decoding("the configuration"):
         document = json.loads(data)
         fields = {
             "routes": [],
@@ -104,10 +111,6 @@
             limits=fields["limits"],
             warnings=tuple(fields["warnings"]),
         )
-    except DocumentError:
-        raise
-    except _DECODING_ERRORS as error:
-        raise DocumentError(f"the configuration can't be decoded: {error!r}") from error
 
 
 def _add_route(fields, entry):
@@ -115,7 +118,8 @@
     route_type = spec.get("routeType")
     if route_type not in _IS_SAFE:
         fields["warnings"].append(
-            f"route {name!r} has the unknown routeType {route_type!r}: "
+            f"route {name!r} has the unknown routeType "
+            f"{route_type!r}: "
             "its requests are sent at most once"
         )
     shares = spec.get("trafficSplit") or [{"service": spec["service"], "weight": 1}]
@@ -176,7 +180,7 @@
 
     :raises DocumentError: the entry is damaged or was written by something else.
     """
-    try:
+    with _decoding(repr(key)):
         entry = json.loads(data)
         host, _, port = entry["address"].rpartition(":")
         if not _is_integer(entry["maxConcurrency"]) or entry["maxConcurrency"] < 1:
@@ -194,10 +198,6 @@
             warm_seconds=_to_seconds(entry.get("warmupRemainingMs", 0)),
             born=entry["born"] if _is_integer(entry.get("born")) else 0,
         )
-    except DocumentError:
-        raise
-    except _DECODING_ERRORS as error:
-        raise DocumentError(f"{key!r} can't be decoded: {error!r}") from error
 
 
 def _is_integer(value):
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -51,6 +51,8 @@
             {"zone": None},
             {"warmupRemainingMs": "soon"},
             {"warmupRemainingMs": float("nan")},
+            {"warmupRemainingMs": 10**400},
+            {"warmupRemainingMs": -(10**400)},
             {"address": "10.0.0.9:99999"},
             {"address": "10.0.0.9:0"},
             {"address": ":80"},
@@ -134,10 +136,17 @@
         empty["resources"][0]["spec"]["trafficSplit"] = [{"service": "x", "weight": 0}]
         endless = json.loads(json.dumps(good))
         endless["resources"][0]["spec"]["timeoutMs"] = float("inf")
+        ranks = [json.loads(json.dumps(good)) for _ in range(2)]
+        for document, value in zip(ranks, (float("inf"), float("nan")), strict=True):
+            document["resources"][0]["spec"]["priority"] = value
+        large = json.loads(json.dumps(good))
+        large["resources"][0]["spec"]["timeoutMs"] = 10**400
         for data in (
             encode(good)[:-9],
             encode(empty),
             encode(endless),
+            encode(large),
+            *map(encode, ranks),
             b"{}",
             b"[1]",
             b"[" * 100000,
--- a/tests/test_mesh_entries.py
+++ b/tests/test_mesh_entries.py
@@ -1,7 +1,9 @@
 """Entries of another writer in the store: the daemons follow it all the same."""
 
 import time
+from unittest import mock
 
+from jackdawlanding.platform import documents
 from tests import configurations, meshes
 
 # What the platform's rules give all daemons to obey the store.
@@ -55,3 +57,40 @@
                 ),
                 seconds=FOLLOW_SECONDS,
             )
+
+    def test_an_item_that_fails_unexpectedly_holds_up_no_other(self):
+        decode = documents.decode_backend
+
+        def fail(key, data):
+            if key == "servers/odd":
+                raise ZeroDivisionError(key)
+            return decode(key, data)
+
+        with (
+            mock.patch.object(documents, "decode_backend", fail),
+            self.make() as mesh,
+        ):
+            good = mesh.members[1].backend_server.make_entry(host="127.0.1.2")
+            mesh.store.put("servers/odd", good)
+            self.publish(mesh, 2)
+            mesh.store.put("servers/i-1", {**good, "state": "draining"})
+            self.wait_for(mesh, 2, is_draining=True)
+            self.assertTrue(
+                any(
+                    member.daemon.metrics.get("store_items_failed")
+                    for member in mesh.members
+                )
+            )
+
+    def test_a_configuration_with_a_number_too_large_leaves_the_last_in_force(self):
+        with self.make() as mesh:
+            self.publish(mesh, 2)
+            good = mesh.members[1].backend_server.make_entry(host="127.0.1.2")
+            route = configurations.make_route("look", service="bank", priority=10**400)
+            for value in (10**400, float("inf")):
+                route["spec"]["targetLatencyMs"] = value
+                route["spec"]["priority"] = value
+                document = configurations.make(9, route, services=("bank",))
+                mesh.store.put("op/config", document)
+            mesh.store.put("servers/i-1", {**good, "state": "draining"})
+            self.wait_for(mesh, 2, is_draining=True)
