Bound what a log line quotes of an odd value

Cause: an entry or a configuration may hold a value of a megabyte, and the errors about it quoted it whole, as did a traceback. One such line fills the pipe of the log, and the lines behind it are dropped; entries come as often as another writer likes.

Change: errors quote the first 80 characters of a value (reprlib), a line the last 4,000 of a traceback.

Measured: an address with a port of a million digits, a state and a service of a million characters gave errors over 1,000 characters before (test_an_error_quotes_no_more...), and a traceback with such an exception a line of over 1 MB; both tests pass now.

--- a/src/jackdawlanding/mesh/logs.py
+++ b/src/jackdawlanding/mesh/logs.py
@@ -15,6 +15,8 @@
 LINES_PER_SECOND = 200.0
 LINES_BURST = 1000.0
 DROPPED_REPORT_INTERVAL_SECONDS = 5.0
+# The most characters of a traceback: the last ones, which tell the exception.
+MAXIMUM_TRACEBACK_CHARACTERS = 4000
 
 
 class _TokenBucket:
@@ -75,7 +77,8 @@
         if record.levelno >= logging.WARNING:
             fields["level"] = record.levelname.lower()
         if record.exc_info:
-            fields["error"] = logging.Formatter().formatException(record.exc_info)
+            traceback = logging.Formatter().formatException(record.exc_info)
+            fields["error"] = traceback[-MAXIMUM_TRACEBACK_CHARACTERS:]
         return self._make_line(part, text, **fields)
 
     def _make_line(self, part, text, **fields):
--- a/src/jackdawlanding/platform/documents.py
+++ b/src/jackdawlanding/platform/documents.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import math
+import reprlib
 import socket
 import typing
 
@@ -20,6 +21,11 @@
 MAXIMUM_PORT = 65535
 # The largest integer that a message to another daemon can carry.
 MAXIMUM_INTEGER = 2**63 - 1
+# The most characters of a value that an error quotes: a value may have a megabyte.
+MAXIMUM_QUOTED_CHARACTERS = 80
+
+_quoter = reprlib.Repr()
+_quoter.maxstring = _quoter.maxother = MAXIMUM_QUOTED_CHARACTERS
 
 
 class DocumentError(ValueError):
@@ -37,7 +43,9 @@
     except DocumentError:
         raise
     except Exception as error:
-        raise DocumentError(f"{name} can't be decoded: {error!r}") from error
+        raise DocumentError(
+            f"{name} can't be decoded: {_quoter.repr(error)}"
+        ) from error
 
 
 class Item(typing.NamedTuple):
@@ -118,8 +126,8 @@
     route_type = spec.get("routeType")
     if route_type not in _IS_SAFE:
         fields["warnings"].append(
-            f"route {name!r} has the unknown routeType "
-            f"{route_type!r}: "
+            f"route {_quoter.repr(name)} has the unknown routeType "
+            f"{_quoter.repr(route_type)}: "
             "its requests are sent at most once"
         )
     shares = spec.get("trafficSplit") or [{"service": spec["service"], "weight": 1}]
@@ -143,7 +151,9 @@
         )
     )
     if not fields["routes"][-1].shares:
-        raise DocumentError(f"route {name!r} has no service with a weight above 0")
+        raise DocumentError(
+            f"route {_quoter.repr(name)} has no service with a weight above 0"
+        )
 
 
 def _add_service(fields, entry):
@@ -154,7 +164,8 @@
 
 def _skip(fields, entry):
     fields["warnings"].append(
-        f"a resource of the unknown entryKind {entry['entryKind']!r} is skipped"
+        "a resource of the unknown entryKind "
+        f"{_quoter.repr(entry['entryKind'])} is skipped"
     )
 
 
@@ -186,7 +197,7 @@
         if not _is_integer(entry["maxConcurrency"]) or entry["maxConcurrency"] < 1:
             raise DocumentError(f"{key!r} has no valid maxConcurrency")
         if not 0 < int(port) <= MAXIMUM_PORT:
-            raise DocumentError(f"{key!r} has no valid port: {port!r}")
+            raise DocumentError(f"{key!r} has no valid port: {_quoter.repr(port)}")
         return directory.Backend(
             instance=_check_text(key.removeprefix(BACKEND_PREFIX)),
             service=_check_text(entry["service"]),
@@ -212,7 +223,7 @@
 def _check_text(value):
     """Return a text that can be encoded; JSON may hold lone surrogates."""
     if not isinstance(value, str):
-        raise DocumentError(f"{value!r} is not a text")
+        raise DocumentError(f"{_quoter.repr(value)} is not a text")
     value.encode()
     return value
 
@@ -222,7 +233,7 @@
     try:
         socket.inet_pton(socket.AF_INET, host)
     except OSError:
-        raise DocumentError(f"{host!r} is not an IPv4 address") from None
+        raise DocumentError(f"{_quoter.repr(host)} is not an IPv4 address") from None
     return host
 
 
@@ -232,5 +243,5 @@
         or not isinstance(millis, (int, float))
         or not math.isfinite(millis)
     ):
-        raise DocumentError(f"{millis!r} is not a number of milliseconds")
+        raise DocumentError(f"{_quoter.repr(millis)} is not a number of milliseconds")
     return millis / MILLIS_PER_SECOND
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -71,6 +71,19 @@
             with self.assertRaises(documents.DocumentError):
                 documents.decode_backend("servers/i-7", data)
 
+    def test_an_error_quotes_no_more_than_the_start_of_a_value(self):
+        for changes in (
+            {"address": "10.0.0.9:" + "9" * 10**6},
+            {"address": "x" * 10**6 + ":80"},
+            {"state": "x" * 10**6},
+            {"service": [["x" * 10**6] * 9]},
+        ):
+            with self.subTest(changes=list(changes)):
+                try:
+                    documents.decode_backend("servers/i-7", make_entry(**changes))
+                except documents.DocumentError as error:
+                    self.assertLess(len(str(error)), 1000)
+
     def test_a_start_time_out_of_range_is_unknown(self):
         """A peer can't be sent a number of more than 64 bits."""
         entry = make_entry(born=10**30)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -39,6 +39,13 @@
         self.assertEqual(line["level"], "error")
         self.assertIn("broken", line["error"])
 
+    def test_a_traceback_of_a_long_exception_is_cut_short(self):
+        try:
+            raise ValueError("x" * 10**6)
+        except ValueError:
+            self.logger.exception("loop: a handler failed.")
+        self.assertLess(len(self.read()), 10_000)
+
     def test_a_stalled_reader_does_not_block(self):
         for _ in range(int(logs.LINES_BURST) - 1):
             self.logger.info("host: %s", "x" * 200)
