Take no entry with a wrong field for a backend server

Cause: decode_backend checked the fields that it happened to use, each in its own way. Daemons took records of peers, which may run an earlier version, without any check, and one record that didn't fit dropped the whole update.

Change: one table of rules for a backend server (decisions/validation.py: type, range, characters), kept by the adapter for entries and by gossip for records; a table of the types of an entry's fields, all of which must be there but for the start, which the users' example lacks. A record that breaks a rule is treated as removed, the others hold. Bytes that are no UTF-8 are no entry; in a page they only spoil the key that they stand in.

test_a_start_time_out_of_range_is_unknown is replaced: it let an entry pass with a start that no message can carry; such an entry is refused now (test_an_odd_entry_names_no...).

--- a/src/jackdawlanding/mesh/gossip.py
+++ b/src/jackdawlanding/mesh/gossip.py
@@ -16,6 +16,7 @@
     quarantine,
     routes,
     trees,
+    validation,
     versions,
 )
 from jackdawlanding.mesh import messages
@@ -367,9 +368,11 @@
         if update.configuration:
             fleet_state.apply_configuration(update.configuration, source="peer")
         for name, revision, values in update.records:
-            backend = directory.Backend(*values) if values else None
             fleet_state.put(
-                instance=name, revision=revision, backend=backend, source="peer"
+                instance=name,
+                revision=revision,
+                backend=self._make_backend(name, values),
+                source="peer",
             )
         if update.is_snapshot:
             names = {name for name, _, _ in update.records}
@@ -382,6 +385,27 @@
         if fleet_state.merge_suspects(update.suspects):
             self._on_change("suspects")
 
+    def _make_backend(self, name, values):
+        """Return the backend of a peer's record, ``None`` if it is removed or invalid.
+
+        A daemon of another version may know other rules.
+        """
+        if not values:
+            return None
+        try:
+            return validation.check_backend(directory.Backend(*values))
+        except (TypeError, validation.InvalidValueError) as error:
+            logger.warning(
+                "gossip: A peer's record is treated as removed.",
+                extra={
+                    "fields": {
+                        "instance": validation.quote(name),
+                        "reason": validation.quote(error),
+                    }
+                },
+            )
+            return None
+
 
 def _describe(backend):
     if backend is None:
--- a/src/jackdawlanding/platform/documents.py
+++ b/src/jackdawlanding/platform/documents.py
@@ -5,11 +5,9 @@
 import contextlib
 import json
 import math
-import reprlib
-import socket
 import typing
 
-from jackdawlanding.decisions import directory, routes
+from jackdawlanding.decisions import directory, routes, validation
 
 CONFIGURATION_KEY = "op/config"
 BACKEND_PREFIX = "servers/"
@@ -18,14 +16,18 @@
 _IS_SAFE = {"safe": True, "unsafe": False, "upload": False}
 # Whether a backend server in this state is draining.
 _IS_DRAINING = {"ready": False, "draining": True}
-MAXIMUM_PORT = 65535
-# The largest integer that a message to another daemon can carry.
-MAXIMUM_INTEGER = 2**63 - 1
-# The most characters of a value that an error quotes: a value may have a megabyte.
-MAXIMUM_QUOTED_CHARACTERS = 80
-
-_quoter = reprlib.Repr()
-_quoter.maxstring = _quoter.maxother = MAXIMUM_QUOTED_CHARACTERS
+# The types that the fields of a backend server's entry have, by their names; it may
+# lack ``born``.
+_ENTRY_TYPES = {
+    "service": {str},
+    "address": {str},
+    "zone": {str},
+    "version": {str},
+    "maxConcurrency": {int},
+    "state": {str},
+    "warmupRemainingMs": {int, float},
+    "sequence": {int},
+}
 
 
 class DocumentError(ValueError):
@@ -40,11 +42,11 @@
     """
     try:
         yield
-    except DocumentError:
-        raise
+    except (DocumentError, validation.InvalidValueError) as error:
+        raise DocumentError(f"{name}: {error}") from error
     except Exception as error:
         raise DocumentError(
-            f"{name} can't be decoded: {_quoter.repr(error)}"
+            f"{name} can't be decoded: {validation.quote(error)}"
         ) from error
 
 
@@ -73,7 +75,7 @@
     :raises DocumentError: the data is not such an answer.
     """
     with _decoding("the store's answer"):
-        document = json.loads(data)
+        document = json.loads(data.decode(errors="replace"))
         entries = document["events"] if "events" in document else document["items"]
         return Page(
             items=tuple(_decode_item(entry) for entry in entries),
@@ -103,7 +105,7 @@
     :raises DocumentError: the data is malformed, or a route in it is invalid.
     """
     with _decoding("the configuration"):
-        document = json.loads(data)
+        document = json.loads(data.decode())
         fields = {
             "routes": [],
             "services": {},
@@ -126,8 +128,8 @@
     route_type = spec.get("routeType")
     if route_type not in _IS_SAFE:
         fields["warnings"].append(
-            f"route {_quoter.repr(name)} has the unknown routeType "
-            f"{_quoter.repr(route_type)}: "
+            f"route {validation.quote(name)} has the unknown routeType "
+            f"{validation.quote(route_type)}: "
             "its requests are sent at most once"
         )
     shares = spec.get("trafficSplit") or [{"service": spec["service"], "weight": 1}]
@@ -152,7 +154,7 @@
     )
     if not fields["routes"][-1].shares:
         raise DocumentError(
-            f"route {_quoter.repr(name)} has no service with a weight above 0"
+            f"route {validation.quote(name)} has no service with a weight above 0"
         )
 
 
@@ -165,7 +167,7 @@
 def _skip(fields, entry):
     fields["warnings"].append(
         "a resource of the unknown entryKind "
-        f"{_quoter.repr(entry['entryKind'])} is skipped"
+        f"{validation.quote(entry['entryKind'])} is skipped"
     )
 
 
@@ -192,49 +194,43 @@
     :raises DocumentError: the entry is damaged or was written by something else.
     """
     with _decoding(repr(key)):
-        entry = json.loads(data)
+        entry = _load_entry(data)
         host, _, port = entry["address"].rpartition(":")
-        if not _is_integer(entry["maxConcurrency"]) or entry["maxConcurrency"] < 1:
-            raise DocumentError(f"{key!r} has no valid maxConcurrency")
-        if not 0 < int(port) <= MAXIMUM_PORT:
-            raise DocumentError(f"{key!r} has no valid port: {_quoter.repr(port)}")
-        return directory.Backend(
-            instance=_check_text(key.removeprefix(BACKEND_PREFIX)),
-            service=_check_text(entry["service"]),
-            host=_check_host(host),
-            port=int(port),
-            failure_domain=_check_text(entry["zone"]),
-            slots=entry["maxConcurrency"],
-            is_draining=_IS_DRAINING[entry["state"]],
-            warm_seconds=_to_seconds(entry.get("warmupRemainingMs", 0)),
-            born=entry["born"] if _is_integer(entry.get("born")) else 0,
+        return validation.check_backend(
+            directory.Backend(
+                instance=key.removeprefix(BACKEND_PREFIX),
+                service=entry["service"],
+                host=host,
+                port=_parse_port(port),
+                failure_domain=entry["zone"],
+                slots=entry["maxConcurrency"],
+                is_draining=_IS_DRAINING[entry["state"]],
+                warm_seconds=_to_seconds(entry["warmupRemainingMs"]),
+                born=entry.get("born", 0),
+            )
         )
 
 
-def _is_integer(value):
-    """Return whether a value is an integer that a message to a peer can carry."""
-    return (
-        isinstance(value, int)
-        and not isinstance(value, bool)
-        and abs(value) <= MAXIMUM_INTEGER
-    )
-
-
-def _check_text(value):
-    """Return a text that can be encoded; JSON may hold lone surrogates."""
-    if not isinstance(value, str):
-        raise DocumentError(f"{_quoter.repr(value)} is not a text")
-    value.encode()
-    return value
+def _load_entry(data):
+    """Return the fields of an entry; those that nothing uses must be sound, too."""
+    entry = json.loads(data.decode())
+    for name, types in _ENTRY_TYPES.items():
+        if type(entry[name]) not in types:
+            raise DocumentError(
+                f"{name!r} has another type: {validation.quote(entry[name])}"
+            )
+    if not validation.is_integer(entry["sequence"]):
+        raise DocumentError(
+            f"'sequence' is out of range: {validation.quote(entry['sequence'])}"
+        )
+    return entry
 
 
-def _check_host(host):
-    """Return an IPv4 address; connecting to a name would block on its lookup."""
-    try:
-        socket.inet_pton(socket.AF_INET, host)
-    except OSError:
-        raise DocumentError(f"{_quoter.repr(host)} is not an IPv4 address") from None
-    return host
+def _parse_port(text):
+    """Return a port; :func:`int` alone would also take signs, spaces and the like."""
+    if not (text.isascii() and text.isdigit()):
+        raise DocumentError(f"{validation.quote(text)} is not a port")
+    return int(text)
 
 
 def _to_seconds(millis):
@@ -243,5 +239,7 @@
         or not isinstance(millis, (int, float))
         or not math.isfinite(millis)
     ):
-        raise DocumentError(f"{_quoter.repr(millis)} is not a number of milliseconds")
+        raise DocumentError(
+            f"{validation.quote(millis)} is not a number of milliseconds"
+        )
     return millis / MILLIS_PER_SECOND
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -5,7 +5,7 @@
 import unittest
 
 from jackdawlanding.platform import documents, targets
-from tests import configurations
+from tests import configurations, oddentries
 
 
 def encode(value):
@@ -84,10 +84,22 @@
                 except documents.DocumentError as error:
                     self.assertLess(len(str(error)), 1000)
 
-    def test_a_start_time_out_of_range_is_unknown(self):
-        """A peer can't be sent a number of more than 64 bits."""
-        entry = make_entry(born=10**30)
-        self.assertEqual(documents.decode_backend("servers/i-7", entry).born, 0)
+    def test_an_odd_entry_names_no_backend_server(self):
+        for label, data in oddentries.list_odd_entries(json.loads(make_entry())):
+            with self.subTest(entry=label), self.assertRaises(documents.DocumentError):
+                documents.decode_backend("servers/i-7", data)
+        for key in oddentries.ODD_KEYS:
+            with self.subTest(key=key), self.assertRaises(documents.DocumentError):
+                documents.decode_backend(key, make_entry())
+
+    def test_a_sound_entry_may_lack_its_start_and_have_unknown_fields(self):
+        """The users' example of an entry has no ``born``."""
+        backend = documents.decode_backend("servers/i-7", make_entry(born=...))
+        self.assertEqual(backend.born, 0)
+        entry = make_entry(colour="red", note=None, warmupRemainingMs=0.5)
+        self.assertEqual(
+            documents.decode_backend("servers/i-7", entry).warm_seconds, 0.0005
+        )
 
 
 class ConfigurationTest(unittest.TestCase):
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -139,6 +139,23 @@
         self.assertEqual(known.list_instances(), ["i-1"])
         self.assertEqual(known.complete_revision, 14)
 
+    def test_an_invalid_record_of_a_peer_holds_up_no_other(self):
+        """A daemon of an earlier version took entries that this one refuses."""
+        good = make_backend(5)
+        records = [
+            ("i-1", 20, (*make_backend(1)[:-1], "today")),
+            ("i-2", 21, ("i-2\n", *make_backend(2)[1:])),
+            ("i-3", 22, tuple(good)[:4]),
+            ("i-5", 23, tuple(good)),
+        ]
+        update = self.network.daemons["a"]._make_increment(tree=gossip.NO_TREE)
+        update = update._replace(records=records, revision=23)
+        self.network.deliver("a", "b", update)
+        known = self.network.get_state("b").directory
+        self.assertEqual(known.get("i-5"), good)
+        self.assertEqual([known.get(f"i-{n}") for n in (1, 2, 3)], [None] * 3)
+        self.assertEqual(known.complete_revision, 23)
+
     def test_a_held_removal_is_neither_sent_nor_confirmed(self):
         fleet_state = self.network.get_state("a")
         now = time.monotonic()
--- a/tests/test_mesh_entries.py
+++ b/tests/test_mesh_entries.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 from jackdawlanding.platform import documents
-from tests import configurations, meshes
+from tests import configurations, meshes, oddentries
 
 # What the platform's rules give all daemons to obey the store.
 FOLLOW_SECONDS = 2.5
@@ -58,6 +58,27 @@
                 seconds=FOLLOW_SECONDS,
             )
 
+    def test_odd_entries_of_any_kind_hold_up_nothing_and_the_others_hold(self):
+        with self.make() as mesh:
+            desk, near = mesh.members[:2]
+            good = near.backend_server.make_entry(host=near.host)
+            for number, (_, data) in enumerate(oddentries.list_odd_entries(good)):
+                mesh.store.put(f"servers/odd-{number}", data)
+            for key in oddentries.ODD_KEYS:
+                mesh.store.put(key, good)
+            self.publish(mesh, 2)
+            mesh.store.put("servers/i-1", {**good, "state": "draining"})
+            self.wait_for(mesh, 2, is_draining=True)
+            mesh.store.put("servers/i-1", good)
+            self.wait_for(mesh, 2, is_draining=False)
+            for member in mesh.members:
+                known = member.daemon.fleet_state.directory
+                self.assertEqual(
+                    sorted(known.list_instances()), ["i-0", "i-1", "i-2", "i-3"]
+                )
+            for _ in range(10):
+                self.assertEqual(desk.call("/look/1")[0], 200)
+
     def test_an_item_that_fails_unexpectedly_holds_up_no_other(self):
         decode = documents.decode_backend
 
