Deliver answers whose Keep-Alive names a number too large

Cause: the class of the odd entries, a number too large, in the header of an answer. A Keep-Alive timeout of over 4,300 digits can't be converted to an integer, and one of over 308 not multiplied by a float. The exception ended the handling of the answer, so that its request got 504 at its deadline though it had run.

Looked for elsewhere: the other numbers of headers (deadline, Retry-After, limits) are converted to floats, which become infinite and are bounded or ignored; lengths of bodies are bounded by the parser.

Change: the timeout is converted to a float, too.

Measured: with 400 and 5,000 digits the first request of the new test got 504 before; all get their answers now.

--- a/src/jackdawlanding/mesh/backends.py
+++ b/src/jackdawlanding/mesh/backends.py
@@ -253,5 +253,6 @@
     for part in response.get_header(b"keep-alive").split(b","):
         name, _, value = part.strip().partition(b"=")
         if name.lower() == b"timeout" and value.isdigit():
-            return max(0.2, int(value) * KEEP_ALIVE_SHARE)
+            # An integer may have too many digits; a float is infinite then.
+            return max(0.2, float(value) * KEEP_ALIVE_SHARE)
     return IDLE_SECONDS
--- a/tests/test_mesh_answers.py
+++ b/tests/test_mesh_answers.py
@@ -55,6 +55,14 @@
         self.assertEqual((status, body), (500, b"failed"))
         self.assertEqual(headers["X-Server-Signature"], backendservers.SIGNATURE)
 
+    def test_an_answer_with_a_timeout_too_large_is_delivered(self):
+        self.addCleanup(self.backend_server.notice.clear)
+        for digits in (400, 5000):
+            self.backend_server.notice["Keep-Alive"] = "timeout=" + "9" * digits
+            with self.subTest(digits=digits):
+                self.assertEqual(self.call("/pay/1", method="POST")[0], 200)
+                self.assertEqual(self.call("/look/1")[0], 200)
+
     def test_invalid_responses_are_a_502(self):
         for behaviour in (
             "unsigned",
