Let another writer put odd entries into the store throughout the soak

The soak checks at its end that all daemons still run, and that a configuration published once the faults are over is known to all of them within 2.5 s.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -23,7 +23,14 @@
 
 import typer
 
-from tests import backendservers, configurations, meshes, proxies, stores
+from tests import (
+    backendservers,
+    configurations,
+    meshes,
+    oddentries,
+    proxies,
+    stores,
+)
 
 PROGRAM = pathlib.Path(__file__).parents[1] / "deploy" / "jackdawd.py"
 GRACE_SECONDS = 6
@@ -38,6 +45,8 @@
 STABLE_SECONDS = 4.0
 WINDOW_SECONDS = 4.0
 DRAIN_SECONDS = 2.5
+CONFIGURATION_SECONDS = 2.5
+ODD_ENTRY_SECONDS = 0.2
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Requests with these last path segments get odd answers.
 BEHAVIOURS = ("shed", "twice", "other-first", "refusal-again", "part-of-head", "nested")
@@ -147,6 +156,20 @@
         """Whether the running process handles signals yet."""
         return b"Started." in self._log_path.read_bytes()[self._log_offset :]
 
+    def knows(self, version):
+        """Return whether the daemon's metrics name a version of the configuration."""
+        connection = http.client.HTTPConnection(
+            self.host, self.ports["pages"], timeout=2
+        )
+        try:
+            connection.request("GET", "/metrics")
+            line = f"jackdaw_configuration_version {version}\n"
+            return line.encode() in connection.getresponse().read()
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
     def excuse(self):
         """Note a fault that excuses the daemon from what it knew and was doing."""
         self.disturbed.append(time.monotonic())
@@ -229,10 +252,12 @@
                 member.start()
             self._wait_ready()
             callers = self._start(*[self._call_repeatedly] * CALLERS)
+            self._start(self._write_odd_entries)
             faults = self._start(*self._draw_faults())
             time.sleep(SECONDS)
             for fault in faults:
                 fault.join()
+            self._check_followed()
             stops = self._start(*[lambda m=m: stop(self, m) for m in self.members])
             for thread in stops:
                 thread.join()
@@ -250,7 +275,7 @@
         return self.broken
 
     def change_configuration(self):
-        """Publish the next version; only its timeouts differ."""
+        """Publish the next version and return it; only its timeouts differ."""
         version = next(self._version)
         timeout = 4000 + version
         routes = [
@@ -262,12 +287,37 @@
         self.store.put(
             "op/config", configurations.make(version, *routes, services=("bank",))
         )
+        return version
 
     def register(self, member, *, born):
         """Write the entry of a member's backend server to the store."""
         key = f"servers/{member.backend_server.instance}"
         self.store.put(key, {**member.make_entry(), "born": born})
 
+    def _write_odd_entries(self):
+        """Write entries of another writer among those of the backend servers."""
+        draw = random.Random(self.seed)
+        good = {**self.members[0].make_entry(), "address": "127.0.0.1:1"}
+        odd = [data for _, data in oddentries.list_odd_entries(good)]
+        keys = [f"servers/odd-{number}" for number in range(4)]
+        while not self._stopping.is_set():
+            self.store.put(draw.choice(keys), draw.choice(odd))
+            self.store.put(draw.choice(oddentries.ODD_KEYS), good)
+            time.sleep(ODD_ENTRY_SECONDS)
+
+    def _check_followed(self):
+        """Check that all daemons run and follow the store once the faults are over."""
+        time.sleep(STABLE_SECONDS)
+        for member in self.members:
+            code = member.process.poll()
+            if code is not None:
+                self.broken.append(f"{member.host} ended by itself with {code}")
+        version = self.change_configuration()
+        time.sleep(CONFIGURATION_SECONDS)
+        for member in self.members:
+            if not member.knows(version):
+                self.broken.append(f"{member.host} does not know version {version}")
+
     def is_over(self):
         """Whether no further fault may begin."""
         return self._stopping.is_set()
