Let no odd entry stop the first daemon from following the list of instances

One entry of the list with a missing field or one of another type refused the whole list, so that the first daemon followed none of its changes as long as the entry stood there. A port out of range was listed, and each connection to it raised an OverflowError.

Change: each entry is decoded on its own; a malformed one is logged and passed over. An address with a port out of range, or with digits that are none of ASCII, is malformed. A list that can't be split into entries, such as one with an entry nested over a thousand levels deep, is still refused as a whole: the last list stays in use.

--- a/src/jackdawlanding/daemon/platform.py
+++ b/src/jackdawlanding/daemon/platform.py
@@ -3,6 +3,7 @@
 It only reads. The paths are described in ``docs/platform.md``.
 """
 
+import logging
 import typing
 import urllib.parse
 
@@ -10,8 +11,13 @@
 import pycurl
 
 from jackdawlanding.decisions import membership
+from jackdawlanding.settings import addresses
+
+logger = logging.getLogger("jackdaw.values")
 
 TIMEOUT_MILLIS = 2000
+# What an entry that another program wrote raises while it is decoded.
+_ENTRY_ERRORS = (msgspec.MsgspecError, KeyError, ValueError, RecursionError)
 
 
 class PlatformError(Exception):
@@ -51,29 +57,26 @@
     def read_instances(self, service):
         """Return the instances of a service as a list of ``membership.ListedInstance``.
 
-        :raises PlatformError: the read failed, or its result can't be decoded.
+        A malformed entry is logged and passed over.
+
+        :raises PlatformError: the read failed, or its result is no list.
         """
         data = self._fetch(f"/v1/instances/{urllib.parse.quote(service)}") or b"[]"
         try:
-            entries = msgspec.json.decode(data, type=list[dict])
-            entries = [
-                msgspec.convert(values, InstanceEntry)
-                for values in map(_list_values, entries)
-            ]
-        except (msgspec.MsgspecError, KeyError) as error:
+            entries = msgspec.json.decode(data, type=list[msgspec.Raw])
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise PlatformError(
                 f"the list of instances can't be decoded: {error}"
             ) from error
-        return [
-            membership.ListedInstance(
-                instance=entry.instance,
-                address=entry.address,
-                region=entry.region,
-                failure_domain=entry.failure_domain,
-                leaving=entry.state == "leaving",
-            )
-            for entry in entries
-        ]
+        instances = []
+        for entry in entries:
+            try:
+                instances.append(_decode_instance(entry))
+            except _ENTRY_ERRORS as error:
+                logger.warning(
+                    "values: an entry of %s is passed over: %.80s.", service, error
+                )
+        return instances
 
     def close(self):
         """Close the connection."""
@@ -94,6 +97,20 @@
         return data
 
 
+def _decode_instance(data):
+    """Return the ``membership.ListedInstance`` of one entry's JSON."""
+    values = _list_values(msgspec.json.decode(data, type=dict))
+    entry = msgspec.convert(values, InstanceEntry)
+    addresses.Address.parse(entry.address)
+    return membership.ListedInstance(
+        instance=entry.instance,
+        address=entry.address,
+        region=entry.region,
+        failure_domain=entry.failure_domain,
+        leaving=entry.state == "leaving",
+    )
+
+
 def _list_values(document):
     """Return a document's values in the order of :class:`InstanceEntry`'s fields."""
     defaults = InstanceEntry._field_defaults
--- a/src/jackdawlanding/settings/addresses.py
+++ b/src/jackdawlanding/settings/addresses.py
@@ -18,7 +18,8 @@
         :raises ValueError: the text is not of that form.
         """
         host, colon, port = text.rpartition(":")
-        if not colon or not host or not port.isdigit() or int(port) > 65535:
+        is_number = port.isascii() and port.isdigit()
+        if not colon or not host or not is_number or int(port) > 65535:
             raise ValueError(f"{text!r} is not of the form host:port")
         return cls(host=host.strip("[]"), port=int(port))
 
