Order the links of a calling daemon, so that "never received" binds

Cause: a daemon whose link is lost asks on the next one for the missing replies, and takes "not received" for "never runs". The first bytes of the lost link may come later than that: the serving daemon read its Hello, took it for the newest link and ran the calls behind it.

Change: a process numbers its links, and the serving daemon closes a link with a lower number than it has seen from that process. The number takes the place of the host in Hello, which no version reads, so that daemons of earlier versions can run beside.

Ruled out: an order by arrival, the present one; sending no call before Welcome, which costs a round trip and leaves the late Hello in the newer link's place.

--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -160,11 +160,8 @@
         self.links = links.LinkPool(
             loop=self.loop,
             port=settings.peer_port,
-            hello=messages.Hello(
-                host=settings.host,
-                incarnation=self.incarnation,
-                failure_domain=settings.failure_domain,
-            ),
+            incarnation=self.incarnation,
+            failure_domain=settings.failure_domain,
             is_in_other_region=settings.is_in_other_region,
             on_message=self._handle_message,
         )
--- a/src/jackdawlanding/mesh/links.py
+++ b/src/jackdawlanding/mesh/links.py
@@ -2,7 +2,8 @@
 
 A silent link is replaced. On the new link the calling daemon asks for the missing
 replies. The serving daemon resends a reply, continues a call that still runs, or
-answers that the call never arrived. Such a call never runs: the old link is closed.
+answers that the call never arrived. Such a call never runs: links are numbered, and the
+serving daemon closes all but the last one, also those that it sees only later.
 """
 
 import itertools
@@ -41,16 +42,16 @@
 
     :param loop: the event loop.
     :param address: a pair of host and port.
-    :param hello: the :class:`messages.Hello` of this daemon.
+    :param make_hello: returns the :class:`messages.Hello` for the next connection.
     :param is_in_other_region: tells whether a failure domain is in another region.
     :param on_message: called with the link and each message that does not belong
         to a call or to the link itself.
     """
 
-    def __init__(self, *, loop, address, hello, is_in_other_region, on_message):
+    def __init__(self, *, loop, address, make_hello, is_in_other_region, on_message):
         self._loop = loop
         self.address = address
-        self._hello = hello
+        self._make_hello = make_hello
         self._is_in_other_region = is_in_other_region
         self._on_message = on_message
         self._stream = None
@@ -174,7 +175,7 @@
         self._stream.on_open = self._on_open
         self._stream.on_data = self._on_data
         self._stream.on_closed = lambda was_reset: self._handle_loss("closed")
-        self._stream.write(self._encoder.encode(self._hello))
+        self._stream.write(self._encoder.encode(self._make_hello()))
 
     def _on_open(self):
         self._last_received_at = time.monotonic()
@@ -213,7 +214,9 @@
         pending = self._pending.pop(reply.number, None)
         if pending is None:
             return
-        if reply.reason == messages.NOT_RECEIVED and pending.call.is_safe:
+        if reply.reason == messages.NOT_RECEIVED or (
+            reply.reason == messages.NEVER_RECEIVED and pending.call.is_safe
+        ):
             # The host keeps no replies to safe calls: the call may have run.
             reply = reply._replace(outcome=outcomes.Outcome.UNKNOWN, arrived=True)
         if not pending.call.is_safe and reply.arrived:
@@ -306,19 +309,31 @@
     """Holds the calling sides of the links, by host.
 
     :param port: the port on which the daemons of all hosts listen.
-    :param hello: the :class:`messages.Hello` of this daemon.
+    :param incarnation: identifies this process.
+    :param failure_domain: this daemon's failure domain.
     :param is_in_other_region: tells whether a failure domain is in another region.
     :param on_message: see :class:`OutboundLink`.
     """
 
-    def __init__(self, *, loop, port, hello, is_in_other_region, on_message):
+    def __init__(
+        self,
+        *,
+        loop,
+        port,
+        incarnation,
+        failure_domain,
+        is_in_other_region,
+        on_message,
+    ):
         self._loop = loop
         self._port = port
-        self._hello = hello
+        self._incarnation = incarnation
+        self._failure_domain = failure_domain
         self._is_in_other_region = is_in_other_region
         self._on_message = on_message
         self._links = {}
         self._numbers = itertools.count(1)
+        self._link_numbers = itertools.count(1)
 
     @property
     def unreachable_count(self):
@@ -336,12 +351,19 @@
             link = self._links[host] = OutboundLink(
                 loop=self._loop,
                 address=(host, self._port),
-                hello=self._hello,
+                make_hello=self._make_hello,
                 is_in_other_region=self._is_in_other_region,
                 on_message=self._on_message,
             )
         return link
 
+    def _make_hello(self):
+        return messages.Hello(
+            number=next(self._link_numbers),
+            incarnation=self._incarnation,
+            failure_domain=self._failure_domain,
+        )
+
     def tick(self):
         """Call :meth:`OutboundLink.tick` on all links."""
         now = time.monotonic()
--- a/src/jackdawlanding/mesh/messages.py
+++ b/src/jackdawlanding/mesh/messages.py
@@ -10,9 +10,13 @@
 
 
 class Hello(typing.NamedTuple):
-    """Identifies the daemon that opened a link; the first message on it."""
+    """Identifies the daemon that opened a link; the first message on it.
 
-    host: str
+    ``number`` orders the links that one process opens to others: a later one has a
+    higher number. A daemon of an earlier version sends a text, which orders nothing.
+    """
+
+    number: int
     incarnation: str
     failure_domain: str
 
@@ -162,7 +166,9 @@
     host: str
 
 
-# The reason of a reply about a call that never arrived.
+# The reason of a reply about a call that never arrived and never will.
+NEVER_RECEIVED = "never-received"
+# The same from a daemon of an earlier version, where the call may still arrive.
 NOT_RECEIVED = "not-received"
 NO_LOAD = Load(running=0, queued=0, limit=0, seconds=0.0)
 
--- a/src/jackdawlanding/mesh/serving.py
+++ b/src/jackdawlanding/mesh/serving.py
@@ -89,6 +89,8 @@
         self._executor = executor
         self._on_message = on_message
         self._links = {}
+        # The highest number of a link, by the calling daemon's incarnation.
+        self._newest_numbers = {}
         self._served = {}
         # When a call was last dropped, by the calling daemon's incarnation.
         self._dropped_at = {}
@@ -151,8 +153,17 @@
         for incarnation, at in list(self._dropped_at.items()):
             if now - at > DROPPED_RETENTION_SECONDS:
                 del self._dropped_at[incarnation]
+                if incarnation not in self._links:
+                    self._newest_numbers.pop(incarnation, None)
 
     def _handle_hello(self, link, hello):
+        if self._is_late(hello):
+            # Its calls were answered as never received on a later link.
+            logger.info("links: a link that comes late is closed: %d.", hello.number)
+            link.stream.close()
+            return
+        if _is_numbered(hello):
+            self._newest_numbers[hello.incarnation] = hello.number
         previous = self._links.get(hello.incarnation)
         link.hello = hello
         self._links[hello.incarnation] = link
@@ -166,6 +177,11 @@
         if self._is_in_other_region(hello.failure_domain):
             link.enable_compression()
 
+    def _is_late(self, hello):
+        """Return whether the calling daemon opened a later link than this one."""
+        newest = self._newest_numbers.get(hello.incarnation, 0)
+        return _is_numbered(hello) and hello.number <= newest
+
     def _handle_call(self, link, call):
         key = (link.hello.incarnation, call.number)
         if key in self._served:
@@ -200,13 +216,17 @@
                 link.send(served.reply)
 
     def _make_unknown_reply(self, incarnation, number):
-        """Return the reply for a call that this daemon has no record of."""
-        if incarnation in self._dropped_at:
+        """Return the reply for a call that this daemon has no record of.
+
+        Without an order of its links the call may still arrive.
+        """
+        is_ordered = incarnation in self._newest_numbers
+        if incarnation in self._dropped_at or not is_ordered:
             return messages.make_failure(
                 number, "forgotten", outcome=outcomes.Outcome.UNKNOWN
             )
         return messages.make_failure(
-            number, messages.NOT_RECEIVED, outcome=outcomes.Outcome.NOT_RUN
+            number, messages.NEVER_RECEIVED, outcome=outcomes.Outcome.NOT_RUN
         )
 
     def _handle_ack(self, link, message):
@@ -227,3 +247,8 @@
                 del self._served[key]
                 if served.execution:
                     self._executor.cancel(served.execution)
+
+
+def _is_numbered(hello):
+    """Return whether a daemon numbers its links; those of earlier versions don't."""
+    return isinstance(hello.number, int)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,5 +1,6 @@
 """Links between daemons over connections that break or go silent."""
 
+import contextlib
 import socket
 import time
 import unittest
@@ -48,11 +49,11 @@
         self.proxy_port = meshes.find_free_port()
         self.proxy = proxies.Proxy(host=HOST, port=self.proxy_port, target=(HOST, port))
         self.addCleanup(self.proxy.stop)
-        hello = messages.Hello(host=HOST, incarnation="caller-1", failure_domain="a1")
         self.pool = links.LinkPool(
             loop=self.loop,
             port=self.proxy_port,
-            hello=hello,
+            incarnation="caller-1",
+            failure_domain="a1",
             is_in_other_region=self.is_in_other_region,
             on_message=lambda link, message: None,
         )
@@ -266,13 +267,57 @@
         reply = self.server._make_unknown_reply("caller-1", 1)
         self.assertEqual(reply.outcome, outcomes.Outcome.UNKNOWN)
 
+    def test_a_late_link_takes_no_call(self):
+        """The first bytes of a link came behind those of the next one."""
+        self.send(1)
+        self.wait_until_running(1)
+        encoder = codec.Encoder()
+        hello = messages.Hello(number=1, incarnation="caller-1", failure_domain="a1")
+        late = encoder.encode(hello) + encoder.encode(calls.make_call(9))
+        self.assertEqual(self.check_closes(late), b"")
+        self.assertNotIn(9, self.executor.calls)
+        self.executor.finish(1)
+        self.run_until(lambda: 1 in self.replies)
+
+    def test_links_without_numbers_get_no_promise(self):
+        """A daemon of an earlier version sends its host in place of the number."""
+        hello = messages.Hello(number=HOST, incarnation="old", failure_domain="a1")
+        encoder, decoder = codec.Encoder(), codec.Decoder()
+        sock = socket.create_connection((HOST, self.listener.port))
+        self.addCleanup(sock.close)
+        sock.sendall(
+            encoder.encode(hello) + encoder.encode(messages.Resume(numbers=[7]))
+        )
+        sock.setblocking(False)
+        received = []
+
+        def read():
+            with contextlib.suppress(BlockingIOError):
+                received.extend(decoder.feed(sock.recv(1000)))
+            return len(received) == 2
+
+        self.run_until(read)
+        self.assertEqual(received[1].outcome, outcomes.Outcome.UNKNOWN)
+
+    def test_a_daemon_without_an_order_of_links_proves_nothing(self):
+        """A daemon of an earlier version may still run the call."""
+        self.send(1)
+        self.wait_until_running(1)
+        self.server.links["caller-1"].send(
+            messages.make_failure(
+                1, messages.NOT_RECEIVED, outcome=outcomes.Outcome.NOT_RUN
+            )
+        )
+        self.run_until(lambda: 1 in self.replies)
+        self.assertEqual(self.replies[1].outcome, outcomes.Outcome.UNKNOWN)
+
     def test_malformed_bytes_close_the_link(self):
         self.assertEqual(self.check_closes(b"\xc1\xc1\xc1 nonsense"), b"")
 
     def test_a_message_of_another_type_closes_the_link(self):
         """The messages behind it were lost, and their calls waited for a reply."""
         encoder = codec.Encoder()
-        hello = messages.Hello(host=HOST, incarnation="caller-2", failure_domain="a1")
+        hello = messages.Hello(number=1, incarnation="caller-2", failure_domain="a1")
         with self.assertLogs("jackdaw.links", "ERROR"):
             self.check_closes(
                 encoder.encode(hello) + encoder.encode(messages.Ack(numbers=7))
