Free the slot of a call and answer its caller whatever fails

Cause: an admitted call counts as running before it is formatted and sent. An exception between the two, or while its answer was read, left the slot taken for good, and the call without an answer until its deadline. The same class elsewhere: a reply that could not be taken or encoded ended the handling of those behind it; a request whose call could not be made, or whose answer could not be taken, waited for its deadline and was told 504; without a descriptor `streams.connect` raised with the call already counted, and a listener kept the loop busy with a connection that it could not accept.

Change: from its admission on a call has one end, which releases the slot and answers: not run if nothing was sent, else unknown. The dispatcher answers a request at which something raises, 503 if it has not run, else 502. A connection without a socket fails like any other. A listener that is out of descriptors, buffers or memory waits 0.1 s. The soak checks at its end that all slots of each daemon are free at some moment.

--- a/src/jackdawlanding/mesh/backends.py
+++ b/src/jackdawlanding/mesh/backends.py
@@ -189,7 +189,11 @@
         """
         connection = self._pop_idle(needs_recent) or self._connect()
         attempt.connection = connection
-        connection.start(attempt)
+        try:
+            connection.start(attempt)
+        except Exception:
+            self.drop(connection)
+            raise
 
     def release(self, connection):
         """Return a connection to the pool after its attempt."""
--- a/src/jackdawlanding/mesh/dispatcher.py
+++ b/src/jackdawlanding/mesh/dispatcher.py
@@ -98,12 +98,20 @@
         )
         exchange.parent = self._executor.find_parent(exchange.request_id)
         self._open.add(exchange)
+        try:
+            self._start(exchange)
+        except Exception:
+            self._handle_exception(exchange)
+        return exchange
+
+    def _start(self, exchange):
+        """Resolve a new request and submit it."""
         refusal = self._refuse_if_shutting_down(exchange) or self._resolver.resolve(
             exchange
         )
         if refusal is not None:
             self._finish(exchange, refusal, "refused")
-            return exchange
+            return
         exchange.deadline = min(exchange.deadline, self._ends_at)
         remaining = exchange.deadline - time.monotonic()
         exchange.timer = self._loop.call_later(
@@ -111,7 +119,6 @@
         )
         self._retry_policy.record_first_try(exchange)
         self._submit(exchange)
-        return exchange
 
     def abandon(self, exchange, reason):
         """Drop a request without a response and cancel its attempt."""
@@ -165,13 +172,13 @@
         exchange.submissions += 1
         exchange.submitted_at = now
         exchange.tried.add(backend.instance)
-        exchange.number = self._links.make_number()
+        number = self._links.make_number()
+        call = self._make_call(exchange, number, now)
+        exchange.number = number
         exchange.link = self._find_link(backend)
         self._selector.record_sent(backend.instance)
-        number = exchange.number
         exchange.link.call(
-            self._make_call(exchange, now),
-            lambda reply: self._handle_reply(exchange, number, reply),
+            call, lambda reply: self._handle_reply(exchange, number, reply)
         )
 
     def _choose_backend(self, exchange, now):
@@ -204,7 +211,7 @@
             return self._local_link
         return self._links.get(backend.host)
 
-    def _make_call(self, exchange, now):
+    def _make_call(self, exchange, number, now):
         request, route = exchange.request, exchange.route
         flat_headers = []
         for pair in http.remove_hop_by_hop_headers(
@@ -212,7 +219,7 @@
         ):
             flat_headers += pair
         return messages.Call(
-            number=exchange.number,
+            number=number,
             instance=exchange.backend.instance,
             service=exchange.service,
             route=route.name,
@@ -247,8 +254,24 @@
             )
         if exchange.respond is None or number != exchange.number:
             return
+        exchange.number = 0
         exchange.arrivals += bool(reply.arrived)
-        _REPLY_HANDLERS[reply.outcome](self, exchange, reply, now)
+        try:
+            _REPLY_HANDLERS[reply.outcome](self, exchange, reply, now)
+        except Exception:
+            if reply.outcome != outcomes.Outcome.NOT_RUN:
+                exchange.may_have_run = True
+            self._handle_exception(exchange)
+
+    def _handle_exception(self, exchange):
+        """Log the current exception, and answer the request that it ends."""
+        logger.exception(
+            "entry: A request can't be served.",
+            extra={"fields": {"request": exchange.request_id}},
+        )
+        if not self._cancel_attempt(exchange):
+            exchange.may_have_run = True
+        self._fail(exchange, "failed")
 
     def _handle_response(self, exchange, reply, now):
         instance = exchange.backend.instance
--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -126,11 +126,23 @@
         :param respond: called once with the reply, unless the call is cancelled.
         """
         execution = Execution(call=call, respond=respond)
+        try:
+            self._admit(execution)
+        except Exception:
+            self._log_failure(execution, "host: A call can't be admitted.")
+            if execution.job is not None:
+                self.controller.withdraw(execution.job)
+            self._refuse(execution, "failed")
+        return execution
+
+    def _admit(self, execution):
+        """Run, queue or refuse a new call."""
+        call = execution.call
         reason = self._get_refusal_reason(execution)
         if reason:
             seconds = PACED_RETRY_SECONDS if reason == "paced" else 0.0
             self._refuse(execution, reason, retry_after=seconds)
-            return execution
+            return
         if call.notice is not None:
             self.notice.adopt(call=call, backend=self.backend)
         now = time.monotonic()
@@ -151,7 +163,6 @@
             self._schedule_admission(now)
         for job in result.evicted:
             self._refuse(job.token, "evicted", retry_after=result.retry_after)
-        return execution
 
     def cancel(self, execution):
         """Cancel a call; return whether it certainly never runs."""
@@ -247,6 +258,28 @@
         )
 
     def _run(self, execution):
+        """Send an admitted call; its slot is released when it ends or can't be sent."""
+        call = execution.call
+        self._running[call.request_id] = execution
+        self.pacing_limits.get(call.route).begin()
+        try:
+            execution.attempt = self._make_attempt(execution)
+            self._metrics.count("host_arrivals")
+            self._pool.send(execution.attempt, needs_recent=not call.is_safe)
+        except Exception:
+            self._log_failure(execution, "host: A call can't be sent.")
+            attempt = execution.attempt
+            was_sent = attempt is not None and attempt.connection is not None
+            if attempt is not None:
+                attempt.cancel()
+            self._end(
+                execution,
+                backends.Result(response=None, reason="failed", sent=was_sent),
+            )
+            # Not at once: each of many waiting calls may fail.
+            self._loop.call_soon(self._run_next)
+
+    def _make_attempt(self, execution):
         call = execution.call
         remaining = execution.job.deadline - time.monotonic()
         pairs = list(zip(call.headers[::2], call.headers[1::2], strict=True))
@@ -255,7 +288,7 @@
             (headers.CALLER, call.caller.encode("latin-1")),
             (headers.EXPECTED_INSTANCE, call.instance.encode("latin-1")),
         ]
-        execution.attempt = backends.Attempt(
+        return backends.Attempt(
             data=http.format_request(
                 method=call.method,
                 target=call.target,
@@ -268,19 +301,19 @@
             request_id=call.request_id.encode("latin-1"),
             on_done=lambda result: self._finish(execution, result),
         )
-        self._running[call.request_id] = execution
-        self.pacing_limits.get(call.route).begin()
-        self._metrics.count("host_arrivals")
-        self._pool.send(execution.attempt, needs_recent=not call.is_safe)
 
     def _finish(self, execution, result):
-        outcome, arrived, reason = classification.classify(result)
-        self.notice.record_answer(
-            call=execution.call,
-            sent_at=execution.job.admitted_at,
-            outcome=outcome,
-            response=result.response,
-        )
+        self._end(execution, result)
+        self._run_next()
+
+    def _end(self, execution, result):
+        """Release the slot of a call and answer it."""
+        try:
+            outcome, arrived, reason = self._classify(execution, result)
+        except Exception:
+            self._log_failure(execution, "host: An answer can't be read.")
+            result = backends.Result(response=None, reason="failed", sent=True)
+            outcome, arrived, reason = classification.classify(result)
         self._release(execution, is_success=outcome is classification.DONE)
         if reason == "unreachable":
             self.health.mark_down()
@@ -296,7 +329,22 @@
             result.response,
             retry_after=classification.get_retry_after(outcome, result.response),
         )
-        self._run_next()
+
+    def _classify(self, execution, result):
+        """Return what the result of a call means, and obey the notice in it."""
+        outcome, arrived, reason = classification.classify(result)
+        self.notice.record_answer(
+            call=execution.call,
+            sent_at=execution.job.admitted_at,
+            outcome=outcome,
+            response=result.response,
+        )
+        return outcome, arrived, reason
+
+    def _log_failure(self, execution, text):
+        """Log the current exception, which ends a call."""
+        self._metrics.count("host_failures")
+        logger.exception(text, extra={"fields": {"request": execution.call.request_id}})
 
     def _release(self, execution, *, is_success):
         if self._running.get(execution.call.request_id) is execution:
@@ -369,20 +417,23 @@
                 response.headers, index=response.index
             ):
                 flat_headers += pair
-        respond(
-            messages.Reply(
-                number=call.number,
-                outcome=outcome,
-                arrived=arrived,
-                reason=reason,
-                status=response.status if response else 0,
-                headers=flat_headers,
-                body=response.body if response else b"",
-                retry_after=retry_after,
-                load=self.make_load(),
-                notice=self.notice.make_dated(call),
-            )
+        reply = messages.Reply(
+            number=call.number,
+            outcome=outcome,
+            arrived=arrived,
+            reason=reason,
+            status=response.status if response else 0,
+            headers=flat_headers,
+            body=response.body if response else b"",
+            retry_after=retry_after,
+            load=self.make_load(),
+            notice=self.notice.make_dated(call),
         )
+        try:
+            respond(reply)
+        except Exception:
+            # What comes next, such as a reply to another call, must not be lost.
+            self._log_failure(execution, "host: A reply can't be taken.")
 
     def _refuse_queued(self, reason):
         for job in self.controller.drain():
--- a/src/jackdawlanding/mesh/serving.py
+++ b/src/jackdawlanding/mesh/serving.py
@@ -193,7 +193,15 @@
         )
 
     def _finish(self, key, served, reply):
-        served.link.send(reply)
+        try:
+            served.link.send(reply)
+        except Exception:
+            logger.exception("links: a reply can't be sent.")
+            outcome = (
+                outcomes.Outcome.UNKNOWN if reply.arrived else outcomes.Outcome.NOT_RUN
+            )
+            reply = messages.make_failure(reply.number, "failed", outcome=outcome)
+            served.link.send(reply)
         is_retained = reply.arrived and not served.is_safe
         if not is_retained and not served.link.stream.is_closed:
             self._served.pop(key, None)
--- a/src/jackdawlanding/mesh/streams.py
+++ b/src/jackdawlanding/mesh/streams.py
@@ -10,6 +10,11 @@
 
 BACKLOG = 2048
 ACCEPTS_PER_EVENT = 128
+# The pause after a connection can't be accepted: it stays in the queue, and the loop
+# would spin.
+ACCEPT_PAUSE_SECONDS = 0.1
+# Errors of a process or machine that has no room for another connection.
+_EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 READS_AFTER_ERROR = 64
 # How long a closing connection discards what its peer still sends: closing a socket
 # with unread bytes resets the connection, and the peer may lose the last response.
@@ -27,7 +32,7 @@
     is called at most once, and never after :meth:`close`.
 
     :param loop: the :class:`eventloop.EventLoop`.
-    :param sock: a connected or connecting socket.
+    :param sock: a connected or connecting socket, ``None`` for a connection that fails.
     :param is_connecting: whether the socket is still connecting.
 
     Set ``reads_after_error`` where data that the peer sent before it stopped reading
@@ -110,8 +115,9 @@
         """Close at once, without a callback, and drop unsent bytes."""
         if not self.is_closed:
             self.is_closed = True
-            self._loop.unwatch(self.sock.fileno())
-            self.sock.close()
+            if self.sock is not None:
+                self._loop.unwatch(self.sock.fileno())
+                self.sock.close()
             self._unsent.clear()
             # The callbacks refer to what was received, and their owner to the stream.
             self.on_open = self.on_data = self.on_closed = self.on_drained = None
@@ -137,6 +143,8 @@
             self._read()
 
     def _watch(self):
+        if self.sock is None:
+            return
         mask = 0 if self._is_paused else eventloop.READ
         if self._unsent or self._is_connecting:
             mask |= eventloop.WRITE
@@ -243,13 +251,23 @@
     A failure is reported by ``on_closed``, which the caller of this function can still
     set.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setblocking(False)
-    _set_options(sock, user_timeout_millis)
-    code = sock.connect_ex(tuple(address))
+    sock = None
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        _set_options(sock, user_timeout_millis)
+        code = sock.connect_ex(tuple(address))
+    except OSError as error:
+        # There may be no descriptor left.
+        code = error.errno
+        if sock is not None:
+            sock.close()
+            sock = None
     stream = Stream(loop=loop, sock=sock, is_connecting=True)
     if code not in (0, errno.EINPROGRESS):
         logger.info("streams: could not connect to %s:%d: error %s.", *address, code)
+    if sock is None:
+        loop.call_soon(lambda: stream.close_and_notify(was_reset=True))
     return stream
 
 
@@ -290,11 +308,21 @@
                 return
             except OSError as error:
                 logger.warning("streams: a connection could not be accepted: %s", error)
+                if error.errno in _EXHAUSTED:
+                    self._pause()
                 return
             sock.setblocking(False)
             _set_options(sock, self._user_timeout_millis)
             self._accept(Stream(loop=self._loop, sock=sock), peer[0])
 
+    def _pause(self):
+        self._loop.unwatch(self._sock.fileno())
+        self._loop.call_later(ACCEPT_PAUSE_SECONDS, self._resume)
+
+    def _resume(self):
+        if not self.is_closed:
+            self._loop.watch(self._sock.fileno(), self)
+
     def close(self):
         """Stop listening."""
         if not self.is_closed:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -47,6 +47,8 @@
 DRAIN_SECONDS = 2.5
 CONFIGURATION_SECONDS = 2.5
 ODD_ENTRY_SECONDS = 0.2
+# The callers leave a daemon without a request for a moment within this time.
+IDLE_SECONDS = 8.0
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Requests with these last path segments get odd answers.
 BEHAVIOURS = ("shed", "twice", "other-first", "refusal-again", "part-of-head", "nested")
@@ -156,19 +158,19 @@
         """Whether the running process handles signals yet."""
         return b"Started." in self._log_path.read_bytes()[self._log_offset :]
 
-    def knows(self, version):
-        """Return whether the daemon's metrics name a version of the configuration."""
+    def shows(self, **gauges):
+        """Return whether the daemon's metrics have these values."""
         connection = http.client.HTTPConnection(
             self.host, self.ports["pages"], timeout=2
         )
         try:
             connection.request("GET", "/metrics")
-            line = f"jackdaw_configuration_version {version}\n"
-            return line.encode() in connection.getresponse().read()
+            lines = connection.getresponse().read().decode().splitlines()
         except (OSError, http.client.HTTPException):
             return False
         finally:
             connection.close()
+        return all(f"jackdaw_{name} {value}" in lines for name, value in gauges.items())
 
     def excuse(self):
         """Note a fault that excuses the daemon from what it knew and was doing."""
@@ -315,8 +317,19 @@
         version = self.change_configuration()
         time.sleep(CONFIGURATION_SECONDS)
         for member in self.members:
-            if not member.knows(version):
+            if not member.shows(configuration_version=version):
                 self.broken.append(f"{member.host} does not know version {version}")
+            if not self._finds_idle(member):
+                self.broken.append(f"{member.host} has lost slots")
+
+    def _finds_idle(self, member):
+        """Return whether all slots of a daemon are free at some moment."""
+        end = time.monotonic() + IDLE_SECONDS
+        while time.monotonic() < end:
+            if member.shows(host_running=0, host_queued=0):
+                return True
+            time.sleep(0.01)
+        return False
 
     def is_over(self):
         """Whether no further fault may begin."""
--- /dev/null
+++ b/tests/test_executor.py
@@ -0,0 +1,158 @@
+"""An exception anywhere in a call frees its slot and answers its caller."""
+
+import types
+import unittest
+from unittest import mock
+
+from jackdawlanding.decisions import directory, outcomes
+from jackdawlanding.mesh import (
+    backends,
+    classification,
+    eventloop,
+    executor,
+    gossip,
+    logs,
+    metrics,
+    streams,
+)
+from tests import backendservers, calls, meshes
+
+HOST = "127.0.0.1"
+
+
+class ExecutorTest(unittest.TestCase):
+    """An executor with one slot and a backend server."""
+
+    def setUp(self):
+        self.loop = eventloop.EventLoop()
+        self.addCleanup(self.loop.close)
+        self.backend_server = backendservers.BackendServer(
+            service="desk", instance="i-1"
+        )
+        self.addCleanup(self.backend_server.stop)
+        log = logs.Log()
+        fleet_state = gossip.FleetState(decode=None, log=log)
+        self.executor = executor.Executor(
+            loop=self.loop,
+            service="desk",
+            address=(HOST, self.backend_server.port),
+            fleet_state=fleet_state,
+            metrics=metrics.Metrics(),
+            log=log,
+        )
+        fleet_state.put(
+            instance="i-1",
+            revision=1,
+            backend=directory.Backend(
+                instance="i-1",
+                service="desk",
+                host=HOST,
+                port=self.backend_server.port,
+                failure_domain="a1",
+                slots=1,
+                is_draining=False,
+            ),
+            source="store",
+        )
+        self.executor.apply_backend()
+        self.executor.start()
+        self.replies = {}
+
+    def submit(self, number, **fields):
+        headers = [b"X-Request-Id", b"q%d" % number]
+        call = calls.make_call(number, objective=5.0, headers=headers, **fields)
+        self.executor.submit(call, lambda reply: self.replies.setdefault(number, reply))
+
+    def run_until(self, *numbers):
+        def is_done():
+            self.loop.call_later(0.01, lambda: None)
+            self.loop.run_once()
+            return set(numbers) <= set(self.replies)
+
+        meshes.wait_until(is_done)
+
+    def check(self, number, outcome):
+        """Check how a call ended, that its slot is free, and that the next one runs."""
+        self.run_until(number)
+        self.assertEqual(self.replies[number].outcome, outcome)
+        self.assertEqual(self.executor.in_flight, 0)
+        self.submit(99)
+        self.run_until(99)
+        self.assertEqual(self.replies[99].status, 200)
+
+    def test_a_call_that_can_t_be_formatted_frees_its_slot(self):
+        with self.assertLogs("jackdaw.host", "ERROR"):
+            self.submit(1, instance="сървър")
+        self.check(1, outcomes.Outcome.NOT_RUN)
+
+    def test_many_waiting_calls_that_can_t_be_formatted_free_the_queue(self):
+        self.backend_server.seconds = 0.2
+        self.submit(1)
+        waiting = range(2, 52)
+        for number in waiting:
+            self.submit(number, instance="сървър")
+        with self.assertLogs("jackdaw.host", "ERROR"):
+            self.run_until(1, *waiting)
+        self.assertEqual(
+            {self.replies[number].outcome for number in waiting},
+            {outcomes.Outcome.NOT_RUN},
+        )
+        self.check(1, outcomes.Outcome.DONE)
+
+    def test_a_call_without_a_descriptor_for_its_connection_has_not_run(self):
+        with mock.patch.object(streams.socket, "socket", side_effect=OSError(24, "")):
+            self.submit(1)
+        self.run_until(1)
+        self.assertEqual(self.replies[1].outcome, outcomes.Outcome.NOT_RUN)
+        self.assertEqual(self.executor.in_flight, 0)
+
+    def test_a_failure_while_a_call_is_sent_leaves_its_outcome_unknown(self):
+        with (
+            mock.patch.object(
+                backends._Connection, "start", side_effect=ZeroDivisionError
+            ),
+            self.assertLogs("jackdaw.host", "ERROR"),
+        ):
+            self.submit(1)
+        self.check(1, outcomes.Outcome.UNKNOWN)
+        self.assertEqual(len(self.executor._pool._open), 1)
+
+    def test_an_answer_that_can_t_be_read_frees_the_slot(self):
+        with (
+            mock.patch.object(
+                self.executor.notice, "record_answer", side_effect=ZeroDivisionError
+            ),
+            self.assertLogs("jackdaw.host", "ERROR"),
+        ):
+            self.submit(1)
+            self.run_until(1)
+        self.check(1, outcomes.Outcome.UNKNOWN)
+
+    def test_a_reply_that_can_t_be_taken_holds_up_no_other(self):
+        call = calls.make_call(1, instance="i-7", service="other")
+
+        def fail(reply):
+            raise ZeroDivisionError
+
+        with self.assertLogs("jackdaw.host", "ERROR"):
+            self.executor.submit(call, fail)
+        self.submit(2)
+        self.check(2, outcomes.Outcome.DONE)
+
+    def test_a_call_that_can_t_be_admitted_has_not_run(self):
+        with (
+            mock.patch.object(
+                self.executor.controller, "submit", side_effect=ZeroDivisionError
+            ),
+            self.assertLogs("jackdaw.host", "ERROR"),
+        ):
+            self.submit(1)
+        self.check(1, outcomes.Outcome.NOT_RUN)
+        self.assertEqual(self.replies[1].reason, "failed")
+
+
+class ClassificationTest(unittest.TestCase):
+    def test_a_result_without_a_response_tells_whether_it_was_sent(self):
+        for sent, outcome in ((False, "NOT_RUN"), (True, "UNKNOWN")):
+            result = types.SimpleNamespace(response=None, sent=sent, reason="failed")
+            self.assertEqual(classification.classify(result)[0].name, outcome)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -4,6 +4,7 @@
 import socket
 import time
 import unittest
+from unittest import mock
 
 from jackdawlanding.decisions import outcomes
 from jackdawlanding.mesh import codec, eventloop, links, messages, serving, streams
@@ -267,6 +268,21 @@
         reply = self.server._make_unknown_reply("caller-1", 1)
         self.assertEqual(reply.outcome, outcomes.Outcome.UNKNOWN)
 
+    def test_a_call_without_a_descriptor_for_its_link_has_not_run(self):
+        with mock.patch.object(streams.socket, "socket", side_effect=OSError(24, "")):
+            self.send(1)
+        self.run_until(lambda: 1 in self.replies)
+        self.assertEqual(self.replies[1].outcome, outcomes.Outcome.NOT_RUN)
+
+    def test_a_reply_that_can_t_be_encoded_ends_its_call(self):
+        self.send(1)
+        self.wait_until_running(1)
+        reply = messages.make_failure(1, "", outcome=outcomes.Outcome.DONE)
+        with self.assertLogs("jackdaw.links", "ERROR"):
+            self.executor.calls[1](reply._replace(status=2**70))
+        self.run_until(lambda: 1 in self.replies)
+        self.assertEqual(self.replies[1].outcome, outcomes.Outcome.UNKNOWN)
+
     def test_a_late_link_takes_no_call(self):
         """The first bytes of a link came behind those of the next one."""
         self.send(1)
--- a/tests/test_mesh_answers.py
+++ b/tests/test_mesh_answers.py
@@ -4,6 +4,7 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from tests import backendservers, callers, configurations, meshes
 
@@ -63,6 +64,31 @@
                 self.assertEqual(self.call("/pay/1", method="POST")[0], 200)
                 self.assertEqual(self.call("/look/1")[0], 200)
 
+    def test_a_request_whose_call_can_t_be_made_is_refused_at_once(self):
+        failing = self.member.daemon.dispatcher
+        with (
+            mock.patch.object(failing, "_make_call", side_effect=ZeroDivisionError),
+            self.assertLogs("jackdaw.entry", "ERROR"),
+        ):
+            started_at = time.monotonic()
+            status, headers, _ = self.call("/pay/1", method="POST")
+            self.assertLess(time.monotonic() - started_at, 1.0)
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After", headers)
+        self.assertEqual(failing.in_flight, 0)
+
+    def test_a_request_whose_answer_can_t_be_taken_may_have_run(self):
+        with (
+            mock.patch.object(
+                self.member.daemon.dispatcher._selector,
+                "record_success",
+                side_effect=ZeroDivisionError,
+            ),
+            self.assertLogs("jackdaw.entry", "ERROR"),
+        ):
+            self.assertEqual(self.call("/pay/1", method="POST")[0], 502)
+        self.assertEqual(self.call("/pay/1", method="POST")[0], 200)
+
     def test_invalid_responses_are_a_502(self):
         for behaviour in (
             "unsigned",
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -1,8 +1,10 @@
 """Streams whose peer has stopped reading."""
 
+import errno
 import socket
 import time
 import unittest
+from unittest import mock
 
 from jackdawlanding.mesh import eventloop, streams
 from tests import proxies
@@ -47,5 +49,36 @@
         self.assertEqual((self.received, self.closed), (b"", [True]))
 
 
+class ListenerTest(unittest.TestCase):
+    def test_a_listener_without_descriptors_waits_and_then_accepts(self):
+        """A pending connection kept the loop busy, and the log full."""
+        loop = eventloop.EventLoop()
+        self.addCleanup(loop.close)
+        accepted = []
+        listener = streams.Listener(
+            loop=loop,
+            address=("127.0.0.1", 0),
+            accept=lambda stream, host: accepted.append(stream),
+        )
+        self.addCleanup(listener.close)
+        sock = listener._sock
+        failing = mock.Mock(wraps=sock)
+        failing.accept.side_effect = OSError(errno.EMFILE, "no descriptors")
+        listener._sock = failing
+        client = socket.create_connection(sock.getsockname())
+        self.addCleanup(client.close)
+        self.run_for(loop, 0.35)
+        self.assertIn(failing.accept.call_count, range(2, 6))
+        listener._sock = sock
+        self.run_for(loop, 0.2)
+        self.assertEqual(len(accepted), 1)
+
+    def run_for(self, loop, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            loop.call_later(0.02, lambda: None)
+            loop.run_once()
+
+
 if __name__ == "__main__":
     unittest.main()
