Let the soak look for lost slots while its callers pause

A daemon that several callers have chosen may have no such moment for 8 s.

The callers now pause, with their connections open, until all daemons show that nothing runs or waits, within a request's deadline and the stable time. That is stricter: one lost slot is seen whatever the traffic.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -47,8 +47,6 @@
 DRAIN_SECONDS = 2.5
 CONFIGURATION_SECONDS = 2.5
 ODD_ENTRY_SECONDS = 0.2
-# The callers leave a daemon without a request for a moment within this time.
-IDLE_SECONDS = 8.0
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Requests with these last path segments get odd answers.
 BEHAVIOURS = ("shed", "twice", "other-first", "refusal-again", "part-of-head", "nested")
@@ -234,6 +232,8 @@
         self.broken = []
         self._version = itertools.count(1)
         self._stopping = threading.Event()
+        self._may_send = threading.Event()
+        self._may_send.set()
         self.numbers = itertools.count()
         peer_port = meshes.find_free_port()
         self.members = [
@@ -319,17 +319,18 @@
         for member in self.members:
             if not member.shows(configuration_version=version):
                 self.broken.append(f"{member.host} does not know version {version}")
-            if not self._finds_idle(member):
-                self.broken.append(f"{member.host} has lost slots")
-
-    def _finds_idle(self, member):
-        """Return whether all slots of a daemon are free at some moment."""
-        end = time.monotonic() + IDLE_SECONDS
-        while time.monotonic() < end:
-            if member.shows(host_running=0, host_queued=0):
-                return True
-            time.sleep(0.01)
-        return False
+        self._check_slots()
+
+    def _check_slots(self):
+        """Check that all slots are free while the callers send nothing."""
+        self._may_send.clear()
+        end = time.monotonic() + DEADLINE_MILLIS / 1000 + STABLE_SECONDS
+        busy = self.members
+        while busy and time.monotonic() < end:
+            time.sleep(0.05)
+            busy = [m for m in busy if not m.shows(host_running=0, host_queued=0)]
+        self.broken += [f"{member.host} has lost slots" for member in busy]
+        self._may_send.set()
 
     def is_over(self):
         """Whether no further fault may begin."""
@@ -415,6 +416,7 @@
         draw = random.Random(self.random.random())
         member, connection = None, None
         while not self._stopping.is_set():
+            self._may_send.wait()
             if connection is None:
                 member = draw.choice(self.members)
                 connection = member.connect()
