Count one crash once for identical requests in flight at it

Cause: a crash was recorded once for each call in flight, so that three identical requests at one crash made the three crashes after which a request is refused everywhere.

Change: a crash counts once for each request of which calls were in flight.

Measured: the new test, three identical requests in flight at one crash, counted 3 before and counts 1; the request is served after that. A request that crashes three servers is refused as before.

--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -444,11 +444,14 @@
         if self.controller.queued:
             self._run_next()
 
-    def _record_crash(self, call):
-        crashes = self._fleet_state.record_crash(classification.make_fingerprint(call))
-        self._log.note(
-            "host",
-            "A request was in flight at a crash.",
-            request=call.request_id,
-            deaths=crashes,
-        )
+    def _record_crash(self, calls):
+        """Attribute one crash to each request of which calls were in flight."""
+        suspects = {classification.make_fingerprint(call): call for call in calls}
+        for fingerprint, call in suspects.items():
+            crashes = self._fleet_state.record_crash(fingerprint)
+            self._log.note(
+                "host",
+                "A request was in flight at a crash.",
+                request=call.request_id,
+                deaths=crashes,
+            )
--- a/src/jackdawlanding/mesh/health.py
+++ b/src/jackdawlanding/mesh/health.py
@@ -21,7 +21,7 @@
 
     :param loop: the event loop.
     :param address: its address, a pair of host and port.
-    :param on_crash: called with each call that was in flight at a crash.
+    :param on_crash: called with the calls that were in flight at a crash.
     :param on_down: called when it no longer accepts connections.
     :param log: a ``logs.Log``.
     """
@@ -63,9 +63,8 @@
         self._is_checking_crash = False
         now = time.monotonic()
         lost_calls, self._lost_calls = self._lost_calls, []
-        for at, call in lost_calls:
-            if now - at <= CRASH_SECONDS + CRASH_CHECK_SECONDS:
-                self._on_crash(call)
+        earliest = now - CRASH_SECONDS - CRASH_CHECK_SECONDS
+        self._on_crash([call for at, call in lost_calls if at >= earliest])
         self.mark_down()
 
     def _schedule_probe(self):
--- a/tests/test_mesh_fleet.py
+++ b/tests/test_mesh_fleet.py
@@ -1,5 +1,6 @@
 """Choice of instances, retries and crashes in a fleet of several daemons."""
 
+import threading
 import unittest
 
 from tests import meshes
@@ -49,6 +50,31 @@
             ]
             self.assertEqual(runs.count("die"), 1)
 
+    def test_one_crash_with_three_identical_requests_in_flight_counts_once(self):
+        """All daemons refused the request from then on, though both servers ran."""
+        with self.make() as mesh:
+            desk, near = mesh.members[:2]
+            near.backend_server.behaviours["/pay/same"] = "wait"
+            senders = [
+                threading.Thread(
+                    target=desk.call,
+                    args=("/pay/same",),
+                    kwargs={"method": "POST", "number": f"same{number}"},
+                )
+                for number in range(3)
+            ]
+            for sender in senders:
+                sender.start()
+            meshes.wait_until(lambda: len(near.backend_server.runs) == 3)
+            near.backend_server.crash()
+            for sender in senders:
+                sender.join()
+            meshes.wait_until(lambda: near.daemon.fleet_state.count_crashes())
+            self.assertEqual(near.daemon.fleet_state.count_crashes(), 1)
+            near.backend_server.behaviours.clear()
+            near.backend_server.restart()
+            self.assertEqual(desk.call("/pay/same", method="POST")[0], 200)
+
     def test_a_request_that_crashed_three_backend_servers_is_refused(self):
         with self.make() as mesh:
             desk = mesh.members[0]
