Send a whole list to daemons that missed a forgotten removal

Cause: a removal is forgotten after 120 s, but the revision up to which removals are known to be missing did not rise with it.

Measured: the new test, a daemon that missed a removal and asks after it was forgotten, kept the instance before and drops it now.

--- a/src/jackdawlanding/decisions/directory.py
+++ b/src/jackdawlanding/decisions/directory.py
@@ -243,7 +243,9 @@
             if now - removed_at <= REMOVAL_SECONDS:
                 return
             del self._removed[name]
-            self._remove_revision(name, self._records.pop(name))
+            record = self._records.pop(name)
+            self._remove_revision(name, record)
+            self.history_from = max(self.history_from, record.revision)
 
     def _add_to_host(self, instance, backend):
         if backend is None:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -156,6 +156,16 @@
         self.assertEqual([known.get(f"i-{n}") for n in (1, 2, 3)], [None] * 3)
         self.assertEqual(known.complete_revision, 23)
 
+    def test_a_removal_that_was_forgotten_reaches_a_daemon_that_was_cut_off(self):
+        """It was left out of the updates for good, and the instance stayed in use."""
+        self.remove("a", 2, 12)
+        state = self.network.get_state("a")
+        later = time.monotonic() + directory.REMOVAL_SECONDS + 1
+        state.directory.apply_held_removals(now=later)
+        self.assertEqual(state.directory.get_revision("i-2"), 0)
+        self.network.ask("b", "a")
+        self.assertNotIn("i-2", self.network.get_state("b").directory)
+
     def test_a_held_removal_is_neither_sent_nor_confirmed(self):
         fleet_state = self.network.get_state("a")
         now = time.monotonic()
