Notice a silent link that carries no calls

What callers could see: requests handled as an older configuration allows, or sent to a server that is leaving, by a daemon whose updates go into the void.

Cause: a link was pinged only while calls waited on it. One that carries updates alone, and went silent without a reset, was used for them for good: the tree below it heard nothing, and relied on the other tree or its own reads of the store.

Their logs show links found silent one after the other as calls happened to use them, no confirmation for over 3 s, and reads of the store that timed out.

Change: a link on which something was sent, and nothing has arrived for 1.5 s, is pinged, too, and replaced if the ping is not answered.

Measured: the new test, updates on a link that goes silent, got nothing through in 4 s before; it does now. The search over link orders and the fuzz of links pass.

--- a/src/jackdawlanding/mesh/links.py
+++ b/src/jackdawlanding/mesh/links.py
@@ -18,6 +18,8 @@
 CONNECT_TIMEOUT_SECONDS = 0.5
 # A link with pending calls on which nothing arrives is pinged, then replaced.
 PING_AFTER_SECONDS = 0.3
+# The same for a link without pending calls: updates that are sent have no reply.
+UPDATE_PING_AFTER_SECONDS = 1.5
 PING_TIMEOUT_SECONDS = 0.7
 # Reconnecting to a silent host is tried for as long as most callers wait.
 RESUME_TIMEOUT_SECONDS = 3.0
@@ -150,15 +152,23 @@
         self._fail_all("closed")
 
     def _check_silence(self, now):
-        if not self._pending:
-            return False
+        """Return whether a ping was not answered in time; send one if it is due."""
         if self._pinged_at > self._last_received_at:
             return now - self._pinged_at > PING_TIMEOUT_SECONDS
-        if now - max(self._last_received_at, self._last_used_at) > PING_AFTER_SECONDS:
+        if self._is_ping_due(now):
             self._pinged_at = now
             self._stream.write(self._encoder.encode(messages.Ping(number=0)))
         return False
 
+    def _is_ping_due(self, now):
+        if self._pending:
+            last_at = max(self._last_received_at, self._last_used_at)
+            return now - last_at > PING_AFTER_SECONDS
+        return (
+            self._last_used_at > self._last_received_at
+            and now - self._last_received_at > UPDATE_PING_AFTER_SECONDS
+        )
+
     def _send(self, message):
         if self._stream is None:
             self._open()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -11,6 +11,8 @@
 from tests import calls, meshes, proxies
 
 HOST = "127.0.0.1"
+# The time after which what the platform's rules bound must hold again.
+STABLE_SECONDS = 4.0
 
 
 class FakeExecutor:
@@ -45,6 +47,7 @@
         self.loop = eventloop.EventLoop()
         self.addCleanup(self.loop.close)
         self.executor = FakeExecutor()
+        self.received = []
         self.start_server("server-1")
         port = self.listener.port
         self.proxy_port = meshes.find_free_port()
@@ -69,7 +72,7 @@
             welcome=messages.Welcome(incarnation=incarnation, failure_domain="a1"),
             executor=self.executor,
             is_in_other_region=self.is_in_other_region,
-            on_message=lambda link, message: None,
+            on_message=lambda link, message: self.received.append(message),
         )
         self.listener = streams.Listener(
             loop=self.loop, address=(HOST, port), accept=self.server.accept
@@ -283,6 +286,19 @@
         self.run_until(lambda: 1 in self.replies)
         self.assertEqual(self.replies[1].outcome, outcomes.Outcome.UNKNOWN)
 
+    def test_a_silent_link_without_calls_is_replaced(self):
+        """Updates were sent on it for good, and reached nobody."""
+        message = messages.Leaving(host=HOST)
+        self.link.send(message)
+        self.run_until(lambda: self.received and self.link.peer_incarnation)
+        self.proxy.go_silent()
+        self.received.clear()
+        end = time.monotonic() + STABLE_SECONDS
+        while time.monotonic() < end and not self.received:
+            self.link.send(message)
+            self.wait(0.2)
+        self.assertEqual(self.received[:1], [message])
+
     def test_a_late_link_takes_no_call(self):
         """The first bytes of a link came behind those of the next one."""
         self.send(1)
