Read the store over a new connection after an idle time

Cause: a daemon that takes over from the store's readers used its old connection, which had often been idle for long and may have gone silent: the read ended by its timeout of 1.5 s, and the next came 0.7 s later.

Change: a connection that was idle for over 5 s is replaced. The readers' own are never idle for that long.

Measured: the new test, a read after the idle connection went silent, failed before and succeeds now.

--- a/src/jackdawlanding/mesh/fetching.py
+++ b/src/jackdawlanding/mesh/fetching.py
@@ -1,8 +1,13 @@
 """HTTP GET requests over one persistent connection, one at a time."""
 
+import time
+
 from jackdawlanding.mesh import streams
 from jackdawlanding.wire import http, sockets
 
+# A connection that was idle for longer may have gone silent: a new one is opened.
+MAXIMUM_IDLE_SECONDS = 5.0
+
 
 class Fetcher:
     """Sends GET requests to one address, each with a timeout.
@@ -18,6 +23,7 @@
         self._reader = None
         self._on_response = None
         self._timer = None
+        self._used_at = 0.0
 
     @property
     def is_busy(self):
@@ -32,8 +38,7 @@
         """
         self._on_response = on_response
         self._timer = self._loop.call_later(seconds, self._fail)
-        stream = self._stream
-        if stream is None or not stream.is_open or sockets.has_unread(stream.sock):
+        if not self._can_reuse():
             self._connect()
         headers = [(b"Host", f"{self._address[0]}:{self._address[1]}".encode())]
         self._stream.write(
@@ -47,6 +52,15 @@
         self._on_response = None
         self._disconnect()
 
+    def _can_reuse(self):
+        stream = self._stream
+        return (
+            stream is not None
+            and stream.is_open
+            and time.monotonic() - self._used_at <= MAXIMUM_IDLE_SECONDS
+            and not sockets.has_unread(stream.sock)
+        )
+
     def _connect(self):
         self._disconnect()
         self._reader = http.ResponseReader()
@@ -75,6 +89,7 @@
 
     def _finish(self, response):
         self._timer.cancel()
+        self._used_at = time.monotonic()
         on_response, self._on_response = self._on_response, None
         on_response(response)
 
--- a/tests/test_fetching.py
+++ b/tests/test_fetching.py
@@ -6,9 +6,12 @@
 import time
 import tracemalloc
 import unittest
+from unittest import mock
 
 from jackdawlanding.mesh import eventloop, fetching
+from jackdawlanding.platform import targets
 from jackdawlanding.wire import http
+from tests import meshes, proxies, stores
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 
@@ -37,6 +40,33 @@
                         sock.sendall(self._piece)
 
 
+class IdleConnectionTest(unittest.TestCase):
+    def test_an_idle_connection_that_went_silent_fails_no_read(self):
+        """A daemon that took over from the store's readers lost two seconds."""
+        store = stores.Store()
+        self.addCleanup(store.stop)
+        port = meshes.find_free_port()
+        proxy = proxies.Proxy(host="127.0.0.1", port=port, target=store.bound_address)
+        self.addCleanup(proxy.stop)
+        loop = eventloop.EventLoop()
+        self.addCleanup(loop.close)
+        fetcher = fetching.Fetcher(loop=loop, address=("127.0.0.1", port))
+        self.assertEqual(self.fetch(loop, fetcher).status, 200)
+        proxy.go_silent()
+        with mock.patch.object(fetching, "MAXIMUM_IDLE_SECONDS", 0.1):
+            time.sleep(0.2)
+            self.assertEqual(self.fetch(loop, fetcher).status, 200)
+
+    def fetch(self, loop, fetcher):
+        responses = []
+        target = targets.format_range("", after="")
+        fetcher.get(target, seconds=1.0, on_response=responses.append)
+        while not responses:
+            loop.call_later(0.05, lambda: None)
+            loop.run_once()
+        return responses[0]
+
+
 class EndlessAnswerTest(unittest.TestCase):
     def fetch(self, store):
         loop = eventloop.EventLoop()
