Give the places of readers and receivers to hosts of known services

Cause: every host of an entry has a place in the order of the store's readers, in the trees of updates and among the receivers of gossip.

Change: hosts of services that the configuration in force names come first in the order, and gossip goes to them. The others keep a place behind them, so that a daemon whose service is not named still gets updates.

--- a/src/jackdawlanding/decisions/directory.py
+++ b/src/jackdawlanding/decisions/directory.py
@@ -63,8 +63,10 @@
         self.complete_revision = 0
         self.history_from = 0
         self.confirmed_at = float("-inf")
-        # The hosts of all backends.
+        # The hosts of all backends; those of known services are preferred.
         self.hosts = readers.ReaderOrder()
+        # The services that a configuration names, ``None`` without one.
+        self._services = None
         self._records = {}
         # Pairs of a revision and its instance, ascending.
         self._revisions = []
@@ -134,6 +136,17 @@
         """Return the names of the instances at a host."""
         return list(self._instances_by_host.get(host, ()))
 
+    def set_services(self, services):
+        """Set the services that the configuration in force names.
+
+        An entry of another service may come from another writer, and its host may have
+        no daemon.
+        """
+        if services != self._services:
+            self._services = services
+            for host in self._instances_by_host:
+                self._place_host(host)
+
     def put(self, *, now, instance, revision, backend):
         """Store a record unless a newer one is stored.
 
@@ -227,6 +240,8 @@
         if _get_host(before) != _get_host(record.backend):
             self._remove_from_host(instance, before)
             self._add_to_host(instance, record.backend)
+        for host in {_get_host(before), _get_host(record.backend)} - {None}:
+            self._place_host(host)
         for address in {
             _get_address(backend) for backend in (before, record.backend) if backend
         }:
@@ -251,8 +266,6 @@
         if backend is None:
             return
         instances = self._instances_by_host.get(backend.host, ())
-        if not instances:
-            self.hosts.add(backend.host)
         self._instances_by_host[backend.host] = (*instances, instance)
 
     def _remove_from_host(self, instance, backend):
@@ -262,8 +275,19 @@
         instances.remove(instance)
         if instances:
             self._instances_by_host[backend.host] = tuple(instances)
-        else:
-            self.hosts.remove(backend.host)
+
+    def _place_host(self, host):
+        """Put a host at its place in the order, or remove it."""
+        instances = self._instances_by_host.get(host)
+        if instances:
+            self.hosts.add(host, is_preferred=any(map(self._is_known, instances)))
+        elif host in self.hosts:
+            self.hosts.remove(host)
+
+    def _is_known(self, instance):
+        """Return whether an instance is of a service that a configuration names."""
+        service = self._records[instance].backend.service
+        return self._services is None or service in self._services
 
     def _choose_newest(self, address):
         """Put the newest backend of an address in use there.
--- a/src/jackdawlanding/decisions/readers.py
+++ b/src/jackdawlanding/decisions/readers.py
@@ -28,13 +28,14 @@
 class ReaderOrder:
     """Hosts in the order in which their daemons read the store, first the readers.
 
-    Adding or removing a host takes a time that hardly grows with their number.
+    Preferred hosts come before all others, which may have no daemon. Adding or removing
+    a host takes a time that hardly grows with their number.
 
-    :param hosts: the first hosts, in any order.
+    :param hosts: the first hosts, in any order; all are preferred.
     """
 
     def __init__(self, hosts=()):
-        self._weights = {host: rendezvous.weigh(_KEY, host) for host in hosts}
+        self._weights = {host: _weigh(host, True) for host in hosts}
         # Ascending weights, each with its host.
         self._sorted = sorted(self._weights.values())
 
@@ -44,9 +45,20 @@
     def __contains__(self, host):
         return host in self._weights
 
-    def add(self, host):
-        """Add a host that is not in the order."""
-        weight = self._weights[host] = rendezvous.weigh(_KEY, host)
+    @property
+    def preferred_count(self):
+        """The number of preferred hosts."""
+        return len(self._sorted) - bisect.bisect_left(self._sorted, (True,))
+
+    def add(self, host, *, is_preferred=True):
+        """Add a host, or move it to its place."""
+        weight = _weigh(host, is_preferred)
+        known = self._weights.get(host)
+        if known == weight:
+            return
+        if known is not None:
+            self.remove(host)
+        self._weights[host] = weight
         bisect.insort(self._sorted, weight)
 
     def remove(self, host):
@@ -56,7 +68,7 @@
 
     def get(self, position):
         """Return the host at a position, 0 first."""
-        return self._sorted[-1 - position][1]
+        return self._sorted[-1 - position][-1]
 
     def compute_position(self, host):
         """Return a host's position; a host that isn't in the order comes last."""
@@ -66,6 +78,10 @@
         return len(self._sorted) - 1 - bisect.bisect_left(self._sorted, weight)
 
 
+def _weigh(host, is_preferred):
+    return is_preferred, *rendezvous.weigh(_KEY, host)
+
+
 def compute_read_delay(*, position, age):
     """Return the seconds until a daemon should read.
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -52,6 +52,23 @@
             self.assertEqual(shuffled.get("i-1").host, "10.0.0.2")
             self.assertEqual(len(shuffled.list_service("desk")), 1)
 
+    def test_hosts_of_services_that_nobody_names_come_last(self):
+        """They had the places of the store's readers, and no daemon."""
+        for number in range(1, 41):
+            name, service = f"i-{number}", "desk" if number > 30 else "odd"
+            backend = make_backend(name, host=f"10.0.0.{number}", service=service)
+            put(self.directory, number, backend, instance=name)
+        hosts = self.directory.hosts
+        self.assertEqual(hosts.preferred_count, 40)
+        self.directory.set_services(frozenset({"desk", "bank"}))
+        self.assertEqual(hosts.preferred_count, 10)
+        first = {hosts.get(position) for position in range(10)}
+        self.assertEqual(first, {f"10.0.0.{number}" for number in range(31, 41)})
+        put(self.directory, 50, make_backend(service="bank"))
+        self.assertEqual(hosts.preferred_count, 11)
+        put(self.directory, 51, None)
+        self.assertEqual((hosts.preferred_count, len(hosts)), (10, 39))
+
     def test_a_change_of_service_moves_the_instance(self):
         put(self.directory, 1, make_backend())
         put(self.directory, 2, make_backend(service="bank"))
