Write no head with a line break or NUL in a part of it

Cause: a request's head is joined from its parts as they are.

Change: a head that holds other line breaks than those between its parts, or a NUL, is not written; the call ends as not run.

Measured: 20 odd heads in the new test were all written before, none is now; a call for an instance with a line feed ends as not run.

--- a/src/jackdawlanding/wire/http.py
+++ b/src/jackdawlanding/wire/http.py
@@ -89,6 +89,10 @@
     """Received bytes are not a valid response."""
 
 
+class HeadError(ValueError):
+    """A request can't be written: a part of its head has a line break or a NUL."""
+
+
 class Limits(typing.NamedTuple):
     """The most bytes of a message's head, and of its body."""
 
@@ -384,12 +388,20 @@
     """Return the bytes of a request.
 
     :param has_body: whether to send a ``Content-Length`` for an empty body too.
+    :raises HeadError: a part of the head would end its line, or the whole head.
     """
     lines = [f"{method} {target} HTTP/1.1".encode("latin-1")]
     lines += [name + b": " + value for name, value in headers]
     if has_body or body:
         lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    head = b"\r\n".join(lines)
+    breaks = len(lines) - 1
+    if head.count(b"\n") != breaks or head.count(b"\r") != breaks or b"\0" in head:
+        raise HeadError(
+            "a line break or NUL in the method, the target or a header; "
+            f"the names of the headers are {[name for name, _ in headers]}"
+        )
+    return head + b"\r\n\r\n" + body
 
 
 def format_response(response, *, keep_alive, is_head=False):
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -76,14 +76,17 @@
         self.run_until(number)
         self.assertEqual(self.replies[number].outcome, outcome)
         self.assertEqual(self.executor.in_flight, 0)
-        self.submit(99)
-        self.run_until(99)
-        self.assertEqual(self.replies[99].status, 200)
+        following = number + 100
+        self.submit(following)
+        self.run_until(following)
+        self.assertEqual(self.replies[following].status, 200)
 
     def test_a_call_that_can_t_be_formatted_frees_its_slot(self):
-        with self.assertLogs("jackdaw.host", "ERROR"):
-            self.submit(1, instance="сървър")
-        self.check(1, outcomes.Outcome.NOT_RUN)
+        for number, instance in enumerate(("сървър", "i-1\n", "i-1\r\nA: b")):
+            with self.subTest(instance=instance):
+                with self.assertLogs("jackdaw.host", "ERROR"):
+                    self.submit(number, instance=instance)
+                self.check(number, outcomes.Outcome.NOT_RUN)
 
     def test_many_waiting_calls_that_can_t_be_formatted_free_the_queue(self):
         self.backend_server.seconds = 0.2
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -91,6 +91,23 @@
         self.assertEqual([request.body for request in reader.ready], [b"abc", b""])
 
 
+class FormatRequestTest(unittest.TestCase):
+    def test_a_head_holds_no_more_lines_than_it_was_made_of(self):
+        """A line feed in a header ended the head, and the body was not sent."""
+        good = {"method": "GET", "target": "/a", "headers": [(b"A", b"b")]}
+        rest = {"body": b"x\r\n\0", "has_body": True}
+        self.assertTrue(http.format_request(**good, **rest).endswith(rest["body"]))
+        for odd in ("\n", "\r", "\r\n", "\r\n\r\n", "\0"):
+            for changes in (
+                {"method": f"GET{odd}"},
+                {"target": f"/a{odd}b"},
+                {"headers": [(b"A", f"b{odd}".encode())]},
+                {"headers": [(f"A{odd}".encode(), b"b")]},
+            ):
+                with self.subTest(changes=changes), self.assertRaises(http.HeadError):
+                    http.format_request(**{**good, **changes}, **rest)
+
+
 class ResponseReaderTest(unittest.TestCase):
     def test_a_response_without_a_length_ends_with_the_stream(self):
         reader = read_responses(b"HTTP/1.1 200 OK\r\n\r\nab", b"c")
