Free the slot of a call that nobody waits for and nobody answers

Cause: a call ended with its answer, its connection, or a cancellation by its caller's daemon. When that daemon is gone, a call that must not run twice runs on to its end; if the backend server's connection is silent, too, there is none, and the slot is lost for good.

Change: a call is given up a second after its deadline, when its backend server has stopped and its caller has been answered. Calls that run under the same request id are kept apart, so that each is found.

--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -24,6 +24,9 @@
 # on requests that crash the backend servers that run them.
 MAXIMUM_CRASHES = 3
 SWEEP_SECONDS = 0.05
+# How long an answer may come after its deadline: the backend server stops at the
+# deadline, and the caller's daemon has answered then.
+OVERDUE_SECONDS = 1.0
 # The Retry-After value of paced work: some of its executions have ended by then.
 PACED_RETRY_SECONDS = 0.25
 
@@ -96,7 +99,9 @@
         )
         self.is_shutting_down = False
         self._ends_at = float("inf")
-        self._running = {}
+        self._running = set()
+        # The last call that runs with a request id, by that id.
+        self._running_by_id = {}
         self._admission_timer = None
 
     @property
@@ -114,7 +119,7 @@
 
         The id of a nested request is the id of its parent, a dot and a suffix.
         """
-        return self._running.get(request_id.rpartition(".")[0])
+        return self._running_by_id.get(request_id.rpartition(".")[0])
 
     def start(self):
         """Start the periodic sweep of the queue and the connections."""
@@ -190,10 +195,14 @@
 
     def give_up_all(self):
         """End all running calls; their outcome is unknown."""
-        for execution in list(self._running.values()):
-            execution.attempt.cancel()
-            self._release(execution, is_success=False)
-            self._reply(execution, classification.UNKNOWN, True, "stopped", None)
+        for execution in list(self._running):
+            self._give_up(execution, "stopped")
+
+    def _give_up(self, execution, reason):
+        """End a running call; its outcome is unknown."""
+        execution.attempt.cancel()
+        self._release(execution, is_success=False)
+        self._reply(execution, classification.UNKNOWN, True, reason, None)
 
     def apply_backend(self):
         """Apply the backend server's entry in the directory: slots and draining."""
@@ -260,7 +269,8 @@
     def _run(self, execution):
         """Send an admitted call; its slot is released when it ends or can't be sent."""
         call = execution.call
-        self._running[call.request_id] = execution
+        self._running.add(execution)
+        self._running_by_id[call.request_id] = execution
         self.pacing_limits.get(call.route).begin()
         try:
             execution.attempt = self._make_attempt(execution)
@@ -347,8 +357,10 @@
         logger.exception(text, extra={"fields": {"request": execution.call.request_id}})
 
     def _release(self, execution, *, is_success):
-        if self._running.get(execution.call.request_id) is execution:
-            del self._running[execution.call.request_id]
+        self._running.discard(execution)
+        request_id = execution.call.request_id
+        if self._running_by_id.get(request_id) is execution:
+            del self._running_by_id[request_id]
         now = time.monotonic()
         self.controller.release(now=now, job=execution.job, is_success=is_success)
         self.pacing_limits.get(execution.call.route).end(
@@ -441,9 +453,21 @@
 
     def _sweep(self):
         self._pool.sweep()
+        self._give_up_overdue()
         if self.controller.queued:
             self._run_next()
 
+    def _give_up_overdue(self):
+        """End calls whose answer nobody awaits any more.
+
+        Nobody may cancel them: the daemon of their caller may be gone.
+        """
+        latest = time.monotonic() - OVERDUE_SECONDS
+        for execution in [
+            execution for execution in self._running if execution.job.deadline < latest
+        ]:
+            self._give_up(execution, "overdue")
+
     def _record_crash(self, calls):
         """Attribute one crash to each request of which calls were in flight."""
         suspects = {classification.make_fingerprint(call): call for call in calls}
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -1,5 +1,6 @@
 """An exception anywhere in a call frees its slot and answers its caller."""
 
+import time
 import types
 import unittest
 from unittest import mock
@@ -18,6 +19,8 @@
 from tests import backendservers, calls, meshes
 
 HOST = "127.0.0.1"
+# When the slot of a call with a deadline in 0.3 s is free; its server waits for longer.
+FREED_SECONDS = 2.0
 
 
 class ExecutorTest(unittest.TestCase):
@@ -131,6 +134,26 @@
             self.run_until(1)
         self.check(1, outcomes.Outcome.UNKNOWN)
 
+    def test_a_call_without_an_answer_frees_its_slot_after_its_deadline(self):
+        """Its caller's daemon was gone, and the connection silent: it ran for good."""
+        self.backend_server.behaviours["/silent"] = "wait"
+        started_at = time.monotonic()
+        self.submit(1, target="/silent", remaining=0.3)
+        self.run_until(1)
+        self.assertLess(time.monotonic() - started_at, FREED_SECONDS)
+        self.assertEqual(self.replies[1].reason, "overdue")
+        self.check(1, outcomes.Outcome.UNKNOWN)
+
+    def test_calls_with_the_same_request_id_each_free_their_slot(self):
+        self.backend_server.behaviours["/silent"] = "wait"
+        self.executor.controller.slots = 2
+        started_at = time.monotonic()
+        for number in (1, 2):
+            self.submit(number, target="/silent", remaining=0.3, request_id="same")
+        self.run_until(1, 2)
+        self.assertLess(time.monotonic() - started_at, FREED_SECONDS)
+        self.assertEqual(self.executor.in_flight, 0)
+
     def test_a_reply_that_can_t_be_taken_holds_up_no_other(self):
         call = calls.make_call(1, instance="i-7", service="other")
 
