--- a/src/jackdawlanding/decisions/validation.py
+++ b/src/jackdawlanding/decisions/validation.py
@@ -8,7 +8,7 @@
 MAXIMUM_PORT = 65535
 # The largest integer that a message to another daemon can carry.
 MAXIMUM_INTEGER = 2**63 - 1
-# More requests than a backend server runs at once, and longer than its warm-up.
+# Far above the slots and the warm-up of any backend server.
 MAXIMUM_SLOTS = 1_000_000
 MAXIMUM_WARM_SECONDS = 86_400.0
 MAXIMUM_NAME_CHARACTERS = 200
