--- a/tests/test_mesh_entries.py
+++ b/tests/test_mesh_entries.py
@@ -79,6 +79,22 @@
             for _ in range(10):
                 self.assertEqual(desk.call("/look/1")[0], 200)
 
+    def test_an_order_keeps_its_body_beside_an_entry_with_a_line_feed_in_its_key(self):
+        """The line feed ended the head of the order, which ran with an empty body."""
+        with self.make() as mesh:
+            desk, near = mesh.members[:2]
+            good = near.backend_server.make_entry(host=near.host)
+            mesh.store.put("servers/i-1\n", {**good, "sequence": "1"})
+            self.publish(mesh, 2)
+            self.wait_for(mesh, 2, is_draining=False)
+            body = b'{"award": 17}'
+            for _ in range(20):
+                desk.call("/look/1", method="POST", body=body)
+            bodies = {
+                run[-1] for member in mesh.members for run in member.backend_server.seen
+            }
+            self.assertEqual(bodies, {body})
+
     def test_an_item_that_fails_unexpectedly_holds_up_no_other(self):
         decode = documents.decode_backend
 
