Drop no field for the final recipient because Connection names it

Cause: each field that a Connection header names was removed, as a proxy must for fields of one connection, also those that the protocol gives to the final recipient. The server's answer then matched no call. RFC 9110, section 7.6.1, has such a field be no valid option: a sender must not name it. Refusing the request would cost the caller an answer, so the field is passed on.

Change: a list of fields that no option removes, the general ones beside the formatting code and the platform's in the adapter, for requests and for answers. The id is written from what the daemon knows, once, as the deadline is; a second one is dropped.

--- a/src/jackdawlanding/daemon/messages.py
+++ b/src/jackdawlanding/daemon/messages.py
@@ -112,11 +112,15 @@
     return Answer(response=response, outcome=outcome, reason=reason)
 
 
-def strip_headers(headers):
-    """Return ``headers`` without hop-by-hop headers and Jackdaw headers."""
+def strip_headers(headers, *, kept=()):
+    """Return ``headers`` without hop-by-hop headers and Jackdaw headers.
+
+    :param kept: names that a ``Connection`` header can't leave out.
+    """
+    kept = http.END_TO_END_HEADERS.union(name.lower().encode() for name in kept)
     return tuple(
         (key, value)
-        for key, value in http.remove_hop_by_hop_headers(headers)
+        for key, value in http.remove_hop_by_hop_headers(headers, kept=kept)
         if not key.lower().startswith(HEADER_PREFIX)
     )
 
--- a/src/jackdawlanding/mesh/dispatcher.py
+++ b/src/jackdawlanding/mesh/dispatcher.py
@@ -24,8 +24,10 @@
 # shorter than any work.
 MINIMUM_REMAINING_SECONDS = 0.02
 
-# Headers that are not forwarded; the executor sets the last ones itself.
+# Headers that are not forwarded as they came: the daemons set them, the id here and
+# the others in the executor.
 _DROPPED_HEADERS = http.HOP_BY_HOP_HEADERS | {
+    headers.REQUEST_ID.lower(),
     headers.DEADLINE.lower(),
     headers.CALLER.lower(),
     headers.EXPECTED_INSTANCE.lower(),
@@ -218,6 +220,8 @@
             request.headers, index=request.index, dropped=_DROPPED_HEADERS
         ):
             flat_headers += pair
+        if exchange.request_id:
+            flat_headers += headers.REQUEST_ID, exchange.request_id.encode("latin-1")
         return messages.Call(
             number=number,
             instance=exchange.backend.instance,
--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -27,6 +27,8 @@
 # How long an answer may come after its deadline: the backend server stops at the
 # deadline, and the caller's daemon has answered then.
 OVERDUE_SECONDS = 1.0
+# Headers of an answer that reach the caller whatever its Connection header names.
+_KEPT_HEADERS = http.END_TO_END_HEADERS | headers.END_TO_END
 # The Retry-After value of paced work: some of its executions have ended by then.
 PACED_RETRY_SECONDS = 0.25
 
@@ -426,7 +428,7 @@
         flat_headers = []
         if response is not None:
             for pair in http.remove_hop_by_hop_headers(
-                response.headers, index=response.index
+                response.headers, index=response.index, kept=_KEPT_HEADERS
             ):
                 flat_headers += pair
         reply = messages.Reply(
--- a/src/jackdawlanding/platform/headers.py
+++ b/src/jackdawlanding/platform/headers.py
@@ -12,3 +12,20 @@
 SERVER_LIMIT = b"Server-Limit"
 # "1" in the answers of a backend server that is leaving.
 SERVER_LEAVING = b"Server-Leaving"
+
+# The lower-case names of what callers and backend servers tell each other: no
+# ``Connection`` option takes these out of a message.
+END_TO_END = frozenset(
+    name.lower()
+    for name in (
+        REQUEST_ID,
+        DEADLINE,
+        CALLER,
+        EXPECTED_INSTANCE,
+        SIGNATURE,
+        NOT_EXECUTED,
+        RETRY_AFTER,
+        SERVER_LIMIT,
+        SERVER_LEAVING,
+    )
+)
--- a/src/jackdawlanding/wire/http.py
+++ b/src/jackdawlanding/wire/http.py
@@ -20,6 +20,18 @@
         b"upgrade",
     }
 )
+# Fields for the final recipient, which are no valid connection options (RFC 9110,
+# section 7.6.1).
+END_TO_END_HEADERS = frozenset(
+    {
+        b"cache-control",
+        b"content-encoding",
+        b"content-type",
+        b"date",
+        b"host",
+        b"retry-after",
+    }
+)
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 NO_BODY_STATUSES = frozenset({204, 304})
 _PHRASES = {status.value: status.phrase.encode() for status in http.HTTPStatus}
@@ -362,15 +374,18 @@
             raise ResponseError(f"the body is over {self._limits.body_bytes} bytes")
 
 
-def remove_hop_by_hop_headers(headers, *, index=None, dropped=HOP_BY_HOP_HEADERS):
+def remove_hop_by_hop_headers(
+    headers, *, index=None, dropped=HOP_BY_HOP_HEADERS, kept=END_TO_END_HEADERS
+):
     """Return the headers that are meant for the final recipient.
 
     :param index: the index of the message's headers, if it was made.
     :param dropped: lower-case names that are left out, beside those that
         ``Connection`` names.
+    :param kept: lower-case names that ``Connection`` can't leave out.
     """
     if index is None or b"connection" in index:
-        dropped = dropped | _list_connection_options(headers)
+        dropped = dropped | (_list_connection_options(headers) - kept)
     return [(name, value) for name, value in headers if name.lower() not in dropped]
 
 
--- a/tests/backendservers.py
+++ b/tests/backendservers.py
@@ -32,8 +32,9 @@
     of them, of which each request takes the first. ``runs`` holds the ids of requests
     that ran, ``refused`` of those that were shed, ``seconds`` is how long each takes.
     ``notice`` holds headers of all answers, ``arrivals`` when each request arrived, in
-    ``time.monotonic()`` seconds. ``call_out`` makes a call for a request id and returns
-    whether it succeeded; the behaviour ``"nested"`` needs it.
+    ``time.monotonic()`` seconds, and ``ids`` all ids of each request. ``call_out``
+    makes a call for a request id and returns whether it succeeded; the behaviour
+    ``"nested"`` needs it.
     """
 
     def __init__(self, *, service, instance, slots=4, host="127.0.0.1"):
@@ -43,6 +44,7 @@
         self.slots = slots
         self.runs = []
         self.seen = []
+        self.ids = []
         self.running = 0
         self.most_running = 0
         self.cancelled = 0
@@ -117,6 +119,7 @@
         request_id = handler.headers.get("X-Request-Id")
         with self.lock:
             self.arrivals.append(time.monotonic())
+            self.ids.append(handler.headers.get_all("X-Request-Id"))
             self.seen.append(
                 (request_id, dict(handler.headers), handler.path, handler.command, body)
             )
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -246,6 +246,20 @@
         pairs = [(b"Connection", b"X-Own"), (b"X-Own", b"1"), (b"A", b"b")]
         self.assertEqual(http.remove_hop_by_hop_headers(pairs), [(b"A", b"b")])
 
+    def test_a_connection_option_removes_no_field_for_the_final_recipient(self):
+        pairs = [
+            (b"Connection", b"host, X-Kept, x-other"),
+            (b"Host", b"a.example"),
+            (b"X-Kept", b"1"),
+            (b"X-Other", b"2"),
+        ]
+        self.assertEqual(
+            http.remove_hop_by_hop_headers(
+                pairs, kept=http.END_TO_END_HEADERS | {b"x-kept"}
+            ),
+            [(b"Host", b"a.example"), (b"X-Kept", b"1")],
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_mesh_answers.py
+++ b/tests/test_mesh_answers.py
@@ -47,6 +47,45 @@
         self.assertEqual(seen["X-Caller-Service"], "desk")
         self.assertLessEqual(int(seen["X-Deadline-Ms"]), 900)
 
+    def test_a_connection_option_drops_no_id_of_an_order(self):
+        """The order ran without an id, and its caller never got the answer."""
+        for option in ("X-Request-Id", "close, x-request-id", "Host, X-Deadline-Ms"):
+            with self.subTest(option=option):
+                status, _, body = self.call(
+                    "/pay/1",
+                    method="POST",
+                    body=b"abc",
+                    number="id-1",
+                    extra={"Connection": option},
+                )
+                self.assertEqual((status, body), (200, b"ran abc"))
+                seen = self.backend_server.seen[-1][1]
+                self.assertEqual(seen["X-Request-Id"], "id-1")
+                self.assertEqual(seen["Host"], "pay.example")
+                self.assertIn("X-Deadline-Ms", seen)
+
+    def test_a_connection_option_of_an_answer_drops_no_field_for_the_caller(self):
+        self.addCleanup(self.backend_server.notice.clear)
+        self.backend_server.notice["Connection"] = (
+            "X-Server-Signature, X-Request-Id, Server-Limit, X-Not-Executed"
+        )
+        status, headers, _ = self.call("/pay/1", method="POST", number="id-2")
+        self.assertEqual(status, 200)
+        self.assertEqual(headers["X-Server-Signature"], backendservers.SIGNATURE)
+        self.assertEqual(headers["X-Request-Id"], "id-2")
+
+    def test_an_order_with_two_ids_runs_with_the_one_that_is_answered(self):
+        with socket.create_connection(
+            (self.member.host, self.member.ports["outbound"])
+        ) as sock:
+            sock.settimeout(5)
+            sock.sendall(
+                b"POST /pay/1 HTTP/1.1\r\nHost: pay.example\r\nX-Request-Id: id-3\r\n"
+                b"X-Request-Id: id-4\r\nX-Deadline-Ms: 900\r\nContent-Length: 0\r\n\r\n"
+            )
+            self.assertTrue(sock.recv(4096).startswith(b"HTTP/1.1 200 "))
+        self.assertEqual(self.backend_server.ids[-1], ["id-3"])
+
     def test_a_missing_route_is_a_404(self):
         self.assertEqual(self.call("/nothing/1")[0], 404)
 
