Take a request whose target is in absolute form

Cause: the target was compared with the routes' prefixes as it is. RFC 9112, section 3.2.2, has a server take the absolute form, and has the host in it replace that of Host.

Change: the reader of requests takes the host from the target and leaves the path, for both daemons. A target of another scheme, with a user's name or without a host is a 400.

--- a/src/jackdawlanding/wire/http.py
+++ b/src/jackdawlanding/wire/http.py
@@ -1,6 +1,7 @@
 """Parses HTTP/1.1 requests and responses with httptools, and formats them."""
 
 import http
+import re
 import typing
 
 import httptools
@@ -32,6 +33,8 @@
         b"retry-after",
     }
 )
+# The host and the rest of a target in absolute form, without a user's name.
+_ABSOLUTE_FORM = re.compile(rb"https?://([^/?#@]+)([/?][^#]*)?", re.IGNORECASE)
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 NO_BODY_STATUSES = frozenset({204, 304})
 _PHRASES = {status.value: status.phrase.encode() for status in http.HTTPStatus}
@@ -242,6 +245,8 @@
 
     def on_message_complete(self):
         """Append the complete request to ``ready``; called by httptools."""
+        if b"://" in self._url and not self._url.startswith(b"/"):
+            self._convert_absolute_form()
         index = self._index
         request = Request(
             method=self._parser.get_method().decode("latin-1"),
@@ -255,6 +260,22 @@
         self._reset()
         self.ready.append(request)
 
+    def _convert_absolute_form(self):
+        """Take the host from the target, which is then a path.
+
+        RFC 9112, section 3.2.2: the host in the target replaces that of ``Host``.
+        """
+        match = _ABSOLUTE_FORM.fullmatch(self._url)
+        if match is None:
+            self._fail(400, "the target is no absolute URI of http or https")
+        host, path = match.groups(default=b"")
+        self._url = path if path.startswith(b"/") else b"/" + path
+        self._headers = [
+            (name, value) for name, value in self._headers if name.lower() != b"host"
+        ]
+        self._headers.insert(0, (b"Host", host))
+        self._make_index()
+
     def _reset(self):
         super()._reset()
         self._url = b""
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -39,6 +39,31 @@
         head = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
         self.assertEqual(self.read_error(head + b"b\r\n" + b"x" * 11), 413)
 
+    def test_a_target_in_absolute_form_names_the_host(self):
+        """It got a 404: RFC 9112, section 3.2.2, has a server take it."""
+        for target, host, path in (
+            (b"http://b.example/x?y=z", b"b.example", "/x?y=z"),
+            (b"HTTPS://b.example:80/x", b"b.example:80", "/x"),
+            (b"http://b.example", b"b.example", "/"),
+            (b"http://b.example?y", b"b.example", "/?y"),
+        ):
+            for field in (b"Host: a.example\r\n", b"HOST: c\r\nHost: d\r\n", b""):
+                reader = http.RequestReader(limits=Limits())
+                reader.feed(b"GET " + target + b" HTTP/1.1\r\nA: 1\r\n" + field)
+                reader.feed(b"\r\nGET /next HTTP/1.1\r\nHost: a.example\r\n\r\n")
+                first, second = reader.ready
+                self.assertEqual(first.target, path)
+                self.assertEqual(first.headers, ((b"Host", host), (b"A", b"1")))
+                self.assertEqual(first.get_header(b"host"), host)
+                self.assertEqual(second.target, "/next")
+                self.assertEqual(second.get_header(b"host"), b"a.example")
+
+    def test_a_target_without_a_host_or_of_another_scheme_is_refused(self):
+        for target in (b"ftp://b/x", b"http://user@b/x", b"http:///x"):
+            self.assertEqual(
+                self.read_error(b"GET " + target + b" HTTP/1.1\r\n\r\n"), 400
+            )
+
     def test_a_head_over_the_limit_is_refused(self):
         head = b"GET / HTTP/1.1\r\nX-Long: " + b"x" * 200 + b"\r\n\r\n"
         self.assertEqual(self.read_error(head), 431)
--- a/tests/test_mesh_answers.py
+++ b/tests/test_mesh_answers.py
@@ -86,6 +86,20 @@
             self.assertTrue(sock.recv(4096).startswith(b"HTTP/1.1 200 "))
         self.assertEqual(self.backend_server.ids[-1], ["id-3"])
 
+    def test_an_order_with_a_target_in_absolute_form_is_run(self):
+        with socket.create_connection(
+            (self.member.host, self.member.ports["outbound"])
+        ) as sock:
+            sock.settimeout(5)
+            sock.sendall(
+                b"POST http://pay.example/pay/1?x=2 HTTP/1.1\r\nHost: other.example\r\n"
+                b"X-Request-Id: id-5\r\nContent-Length: 3\r\n\r\nabc"
+            )
+            self.assertTrue(sock.recv(4096).startswith(b"HTTP/1.1 200 "))
+        _, seen, path, _, body = self.backend_server.seen[-1]
+        self.assertEqual((path, body), ("/pay/1?x=2", b"abc"))
+        self.assertEqual(seen["Host"], "pay.example")
+
     def test_a_missing_route_is_a_404(self):
         self.assertEqual(self.call("/nothing/1")[0], 404)
 
