Take no entry for a backend server whose service no configuration names

Cause: the directory kept the newest record of an address, whatever its service.

Change: records of services that the configuration in force doesn't name are kept and passed on to peers, but are in no list of backend servers; they count from the moment a configuration names their service, in its list of services or in a route. A daemon finds its own backend server also while no configuration names it. Budgets of retries and the sample of peers go by the hosts of named services, so that foreign entries don't shrink them.

--- a/src/jackdawlanding/decisions/directory.py
+++ b/src/jackdawlanding/decisions/directory.py
@@ -73,7 +73,7 @@
         # When each removed instance was removed, oldest first.
         self._removed = {}
         self._instances_by_host = {}
-        # The newest backend of each address.
+        # The newest backend of each address, among those of known services.
         self._newest = {}
         self._by_service = {}
         self._held_removals = {}
@@ -99,6 +99,11 @@
             return self.confirmed_at
         return min(self.confirmed_at, self._hold_until - REGISTRATION_SECONDS)
 
+    @property
+    def daemon_count(self):
+        """The number of hosts that run a daemon, as far as is known."""
+        return self.hosts.preferred_count or len(self.hosts)
+
     def __len__(self):
         return len(self._records) - len(self._removed)
 
@@ -128,9 +133,17 @@
         """Return the backends of a service, draining ones included."""
         return self._by_service.get(service, ())
 
-    def find_by_address(self, host, port):
-        """Return the newest backend at an address, or ``None``."""
-        return self._newest.get((host, port))
+    def find_by_address(self, host, port, *, service):
+        """Return the newest backend of a service at an address, or ``None``.
+
+        The configuration in force need not name the service.
+        """
+        records = [
+            record
+            for record in self._list_at_address((host, port))
+            if record.backend.service == service
+        ]
+        return max(records, key=_get_age_key).backend if records else None
 
     def list_at_host(self, host):
         """Return the names of the instances at a host."""
@@ -139,13 +152,20 @@
     def set_services(self, services):
         """Set the services that the configuration in force names.
 
-        An entry of another service may come from another writer, and its host may have
-        no daemon.
+        An entry of another service may come from another writer: it names no backend
+        server until a configuration names its service, and its host may have no daemon.
         """
-        if services != self._services:
-            self._services = services
-            for host in self._instances_by_host:
-                self._place_host(host)
+        if services == self._services:
+            return
+        self._services = services
+        for host in self._instances_by_host:
+            self._place_host(host)
+        for address in {
+            _get_address(record.backend)
+            for record in self._records.values()
+            if record.backend
+        }:
+            self._choose_newest(address)
 
     def put(self, *, now, instance, revision, backend):
         """Store a record unless a newer one is stored.
@@ -289,6 +309,16 @@
         service = self._records[instance].backend.service
         return self._services is None or service in self._services
 
+    def _list_at_address(self, address):
+        """Return the records of all backends at an address."""
+        return [
+            record
+            for record in map(
+                self._records.get, self._instances_by_host.get(address[0], ())
+            )
+            if _get_address(record.backend) == address
+        ]
+
     def _choose_newest(self, address):
         """Put the newest backend of an address in use there.
 
@@ -296,9 +326,9 @@
         """
         before = self._newest.pop(address, None)
         records = [
-            self._records[instance]
-            for instance in self._instances_by_host.get(address[0], ())
-            if _get_address(self._records[instance].backend) == address
+            record
+            for record in self._list_at_address(address)
+            if self._is_known(record.backend.instance)
         ]
         after = None
         if records:
--- a/src/jackdawlanding/decisions/routes.py
+++ b/src/jackdawlanding/decisions/routes.py
@@ -56,6 +56,12 @@
     limits: Limits = Limits()
     warnings: tuple[str, ...] = ()
 
+    def list_services(self):
+        """Return the names of all services, those that only a route names included."""
+        return frozenset(self.services).union(
+            share.service for route in self.routes for share in route.shares
+        )
+
 
 class RouteTable:
     """Finds a request's route: the one of its host with the longest matching prefix.
--- a/src/jackdawlanding/mesh/dispatcher.py
+++ b/src/jackdawlanding/mesh/dispatcher.py
@@ -409,7 +409,7 @@
         directory = self._fleet_state.directory
         self._selector.retain_only(directory)
         self._notices.apply_directory(now=time.monotonic(), directory=directory)
-        self._retry_policy.set_daemon_count(len(directory))
+        self._retry_policy.set_daemon_count(directory.daemon_count)
 
 
 # Reasons after which an instance can't be reached for a while.
--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -109,7 +109,9 @@
     @property
     def backend(self):
         """The backend server's entry in the directory, or ``None``."""
-        return self._fleet_state.directory.find_by_address(*self.address)
+        return self._fleet_state.directory.find_by_address(
+            *self.address, service=self.service
+        )
 
     @property
     def in_flight(self):
--- a/src/jackdawlanding/mesh/gossip.py
+++ b/src/jackdawlanding/mesh/gossip.py
@@ -93,7 +93,7 @@
             return False
         active = self._publications.get(CONFIGURATION)
         self.route_table = routes.RouteTable(configuration=active.publication)
-        self.directory.set_services(frozenset(active.publication.services))
+        self.directory.set_services(active.publication.list_services())
         self._log.note(
             "config",
             "A configuration is in force.",
@@ -281,7 +281,7 @@
     def _sample_hosts(self, count):
         """Return up to ``count`` hosts of other daemons at random."""
         hosts = self._fleet_state.directory.hosts
-        size = hosts.preferred_count or len(hosts)
+        size = self._fleet_state.directory.daemon_count
         drawn = self._random.sample(range(size), min(count + 1, size))
         names = [hosts.get(position) for position in drawn]
         return [name for name in names if name != self._local_host][:count]
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -105,6 +105,23 @@
         self.assertEqual(sorted(known.list_instances()), ["i-1", "i-3"])
         self.assertEqual(known.complete_revision, 12)
 
+    def test_a_record_of_an_unnamed_service_counts_once_it_is_named(self):
+        """It took the place of the live server at its address, at each peer."""
+        odd = make_backend(2)._replace(instance="odd", service="nosuch", born=2**62)
+        for name in ("a", "b"):
+            known = self.network.get_state(name).directory
+            known.set_services(frozenset({"desk"}))
+        source = self.network.get_state("a")
+        source.put(instance="odd", revision=12, backend=odd, source="store")
+        source.directory.confirm(revision=12, at=time.monotonic())
+        self.network.ask("b", "a")
+        known = self.network.get_state("b").directory
+        self.assertIn("odd", known)
+        self.assertEqual(len(known.list_service("desk")), 3)
+        self.assertEqual(known.list_service("nosuch"), ())
+        known.set_services(frozenset({"desk", "nosuch"}))
+        self.assertEqual(len(known.list_service("nosuch")), 1)
+
     def test_a_daemon_started_after_a_removal_sends_a_snapshot(self):
         """Its history begins after the removal, so its records lack the removal."""
         self.remove("a", 2, 12)
--- /dev/null
+++ b/tests/test_mesh_contests.py
@@ -0,0 +1,60 @@
+"""Sound entries of another writer, at the addresses of live backend servers."""
+
+import time
+
+from tests import configurations, meshes
+
+# What the platform's rules give all daemons to obey the store, and longer than an entry
+# takes to reach all of them.
+SPREAD_SECONDS = 0.5
+CALLS = 30
+
+
+class ContestTest(meshes.FleetCase):
+    def write_copies(self, mesh, *, count=1, **fields):
+        """Write copies of the entries of the service's backend servers."""
+        for member in mesh.members[1:]:
+            good = member.backend_server.make_entry(
+                host=member.host, failure_domain=member.failure_domain
+            )
+            for number in range(count):
+                key = f"servers/backup-{number}-{member.backend_server.instance}"
+                mesh.store.put(key, {**good, **fields})
+        time.sleep(SPREAD_SECONDS)
+
+    def check_served(self, mesh, *, calls=CALLS):
+        """Check that all orders are run once, by their service."""
+        runs = [len(member.backend_server.runs) for member in mesh.members]
+        statuses = []
+        for _ in range(calls):
+            for member in mesh.members:
+                status, _, _ = member.call("/pay/1", method="POST", body=b"x")
+                statuses.append(status)
+        self.assertEqual(set(statuses), {200})
+        ran = [len(member.backend_server.runs) for member in mesh.members]
+        self.assertEqual(ran[0], runs[0])
+        self.assertEqual(sum(ran) - sum(runs), len(statuses))
+
+    def test_copies_of_a_service_that_nobody_names_take_no_server_away(self):
+        """All orders got 503 for as long as the copies stood."""
+        for born in (int(time.time() * 1000), 2**62):
+            with self.subTest(born=born), self.make() as mesh:
+                self.write_copies(mesh, service="nosuch", born=born)
+                self.check_served(mesh)
+                mesh.members[0].stop()
+                mesh.members[0].start()
+                mesh.wait_ready(7)
+                self.check_served(mesh)
+
+    def test_copies_count_once_a_configuration_names_their_service(self):
+        with self.make() as mesh:
+            route = configurations.make_route("spare", service="spare")
+            document = configurations.make(2, route, services=("desk", "spare"))
+            backend_server = mesh.members[0].backend_server
+            entry = backend_server.make_entry(host=mesh.members[0].host)
+            mesh.store.put("servers/i-9", {**entry, "service": "spare"})
+            time.sleep(SPREAD_SECONDS)
+            known = mesh.members[1].daemon.fleet_state.directory
+            self.assertEqual(known.list_service("spare"), ())
+            mesh.store.put("op/config", document)
+            meshes.wait_until(lambda: known.list_service("spare"), seconds=2.5)
