Let the backend server judge which record of its address is its own

Cause: the directory kept one record for an address, the newest. Requests then expected the copy's instance, and the server answered 421 to all of them.

Change (docs/design/contested-addresses.md says what was weighed): the daemon beside a server decides which instance a request expects: the one that answered last while its record stands, else the newest, and after a 421 the next one, within the same call and slot, for three instances at most. A health check names the server where nobody is known to run there. A disproof binds one start for five seconds, a leave its own instance alone. A line and a gauge for contested addresses, a line and a counter for disproofs.

Tests: test_executor took an instance with a line feed for a call that can't be formatted; such a call now expects the server's own instance if that is known. The old checks stand with an odd caller, and two new ones check the odd instance, unknown and known. In test_directory a former record of another service is a last resort in place of none, and the oracle of IndexTest says which record each service uses and which are doubted.

--- a/src/jackdawlanding/decisions/directory.py
+++ b/src/jackdawlanding/decisions/directory.py
@@ -7,7 +7,7 @@
 import bisect
 import typing
 
-from jackdawlanding.decisions import readers
+from jackdawlanding.decisions import occupants, readers
 
 # How long removals are remembered: the longest that a daemon may lag behind the
 # store.
@@ -73,8 +73,13 @@
         # When each removed instance was removed, oldest first.
         self._removed = {}
         self._instances_by_host = {}
-        # The newest backend of each address, among those of known services.
-        self._newest = {}
+        # The instances that are offered only where no other may be tried.
+        self.doubted = set()
+        self._occupants = occupants.Occupants()
+        # The ``occupants.Choice`` of each address.
+        self._choices = {}
+        # The addresses that several records of known services name.
+        self._contested = set()
         self._by_service = {}
         self._held_removals = {}
         self._hold_until = float("-inf")
@@ -133,17 +138,80 @@
         """Return the backends of a service, draining ones included."""
         return self._by_service.get(service, ())
 
-    def find_by_address(self, host, port, *, service):
-        """Return the newest backend of a service at an address, or ``None``.
+    def list_at_address(self, host, port, *, service):
+        """Return the records of a service's backends at an address, newest first.
 
-        The configuration in force need not name the service.
+        Disproved ones are left out. The configuration in force need not name the
+        service.
         """
         records = [
             record
             for record in self._list_at_address((host, port))
             if record.backend.service == service
+            and not self._occupants.is_disproved(record)
         ]
-        return max(records, key=_get_age_key).backend if records else None
+        return sorted(records, key=occupants.get_age_key, reverse=True)
+
+    def get_occupant(self, host, port):
+        """Return the instance that answered last at an address, ``""`` if unknown."""
+        return self._occupants.get((host, port))
+
+    def confirm_occupant(self, *, instance):
+        """Record that an instance answered at its address.
+
+        :returns: whether another one, or none, had answered there before.
+        """
+        backend = self.get(instance)
+        if backend is None:
+            return False
+        address = _get_address(backend)
+        has_changed = self._occupants.confirm(address, instance)
+        if has_changed and address in self._contested:
+            self._choose_records(address)
+        return has_changed
+
+    def is_disproved(self, instance):
+        """Return whether the record of an instance is disproved."""
+        record = self._records.get(instance)
+        return bool(record and record.backend) and self._occupants.is_disproved(record)
+
+    def forget_occupant(self, host, port):
+        """Forget who answered at an address: its backend server may have ended."""
+        address = host, port
+        if self._occupants.forget(address) and address in self._contested:
+            self._choose_records(address)
+
+    def disprove(self, *, now, instance):
+        """Record that an instance doesn't run at the address of its record.
+
+        :returns: whether that is new.
+        """
+        record = self._records.get(instance)
+        if record is None or record.backend is None:
+            return False
+        address = _get_address(record.backend)
+        is_new = self._occupants.disprove(now=now, record=record)
+        if self._occupants.get(address) == instance:
+            self._occupants.forget(address)
+        if is_new:
+            self._choose_records(address)
+        return is_new
+
+    def expire_disproofs(self, *, now):
+        """Let records count again that were disproved a while ago."""
+        for instance in self._occupants.expire(now=now):
+            backend = self.get(instance)
+            if backend is not None:
+                self._choose_records(_get_address(backend))
+
+    @property
+    def contested_count(self):
+        """The number of addresses that records of several instances name."""
+        return len(self._contested)
+
+    def is_contested(self, host, port):
+        """Return whether records of several instances name an address."""
+        return (host, port) in self._contested
 
     def list_at_host(self, host):
         """Return the names of the instances at a host."""
@@ -165,7 +233,7 @@
             for record in self._records.values()
             if record.backend
         }:
-            self._choose_newest(address)
+            self._choose_records(address)
 
     def put(self, *, now, instance, revision, backend):
         """Store a record unless a newer one is stored.
@@ -265,7 +333,7 @@
         for address in {
             _get_address(backend) for backend in (before, record.backend) if backend
         }:
-            self._choose_newest(address)
+            self._choose_records(address)
 
     def _remove_revision(self, instance, record):
         entry = (record.revision, instance)
@@ -319,29 +387,43 @@
             if _get_address(record.backend) == address
         ]
 
-    def _choose_newest(self, address):
-        """Put the newest backend of an address in use there.
+    def _choose_records(self, address):
+        """Put the records of an address in use that its services go by.
 
-        An address may be in use again while its former user's record remains.
+        An address may be in use again while its former user's record remains, and
+        another writer may name the address of a live backend server.
         """
-        before = self._newest.pop(address, None)
+        before = self._choices.pop(address, occupants.Choice())
         records = [
             record
             for record in self._list_at_address(address)
             if self._is_known(record.backend.instance)
         ]
-        after = None
+        after = occupants.Choice()
         if records:
-            after = self._newest[address] = max(records, key=_get_age_key).backend
-        if before == after:
-            return
-        if before is not None:
-            rest = list(self._by_service[before.service])
-            rest.remove(before)
-            self._by_service[before.service] = tuple(rest)
-        if after is not None:
-            others = self._by_service.get(after.service, ())
-            self._by_service[after.service] = (*others, after)
+            after = self._occupants.choose(address, records)
+            self._choices[address] = after
+        else:
+            self._occupants.forget(address)
+        (self._contested.add if len(records) > 1 else self._contested.discard)(address)
+        self.doubted -= before.doubted
+        self.doubted |= after.doubted
+        self._replace_offered(
+            [record.backend for record in before.records],
+            [record.backend for record in after.records],
+        )
+
+    def _replace_offered(self, before, after):
+        """Replace the backends of an address in the lists of their services."""
+        for backend in before:
+            if backend not in after:
+                rest = list(self._by_service[backend.service])
+                rest.remove(backend)
+                self._by_service[backend.service] = tuple(rest)
+        for backend in after:
+            if backend not in before:
+                others = self._by_service.get(backend.service, ())
+                self._by_service[backend.service] = (*others, backend)
 
 
 def _get_host(backend):
@@ -352,9 +434,5 @@
     return backend.host, backend.port
 
 
-def _get_age_key(record):
-    return record.backend.born, record.revision
-
-
 def _clear_warmth(backend):
     return backend and backend._replace(warm_seconds=0.0)
--- a/src/jackdawlanding/decisions/routes.py
+++ b/src/jackdawlanding/decisions/routes.py
@@ -43,10 +43,21 @@
     idle_seconds: float = 15.0
 
 
+class Service(typing.NamedTuple):
+    """What the operator says of a service.
+
+    ``connections`` is the most connections that each backend server accepts, and
+    ``health_path`` the target of its health checks, ``""`` if there is none.
+    """
+
+    connections: int = 0
+    health_path: str = ""
+
+
 class Configuration(typing.NamedTuple):
     """One version of all routes, services and limits.
 
-    ``services`` maps the name of a service to the most connections that it accepts.
+    ``services`` maps the name of a service to its :class:`Service`.
     ``warnings`` says in which ways the operator's document was not understood.
     """
 
--- a/src/jackdawlanding/decisions/selection.py
+++ b/src/jackdawlanding/decisions/selection.py
@@ -110,7 +110,17 @@
             return SAME_REGION
         return OTHER_REGION
 
-    def choose(self, *, now, backends, kind, remaining, is_nested=False, exclude=()):
+    def choose(
+        self,
+        *,
+        now,
+        backends,
+        kind,
+        remaining,
+        is_nested=False,
+        exclude=(),
+        doubted=(),
+    ):
         """Return a backend, or ``None`` if none may be tried.
 
         :param backends: the :class:`directory.Backend` objects of the service.
@@ -118,6 +128,7 @@
         :param remaining: seconds until the objective.
         :param is_nested: whether the call is made for another one, which waits.
         :param exclude: names of the instances already tried.
+        :param doubted: names of instances that are used if no other may be tried.
         """
         best, best_key = None, None
         for tier, group in self._list_groups(backends):
@@ -127,6 +138,8 @@
                 key = self._make_sort_key(
                     now, backend, kind, None if is_nested else remaining, tier
                 )
+                if backend.instance in doubted:
+                    key = (True, *key[1:])
                 if best_key is None or key < best_key:
                     best, best_key = backend, key
             if best is not None and _is_final(best_key, tier, is_nested):
--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -47,7 +47,7 @@
 ANSWER_SHARE = 0.9
 GRACE_SHARE = 0.93
 SHUTDOWN_CHECK_SECONDS = 0.05
-LINK_TICK_INTERVAL_SECONDS = 0.1
+TICK_INTERVAL_SECONDS = 0.1
 
 
 class MeshDaemon:
@@ -85,7 +85,7 @@
         self.reader.start()
         self.gossip.start()
         self.executor.start()
-        self.loop.call_every(LINK_TICK_INTERVAL_SECONDS, self._maintain_links)
+        self.loop.call_every(TICK_INTERVAL_SECONDS, self._tick)
         self.loop.call_every(RELOAD_CHECK_SECONDS, self.reload)
         self.loop.run()
         self.log.note("daemon", "Stopped.", incarnation=self.incarnation)
@@ -269,6 +269,9 @@
             "configuration_version": self.fleet_state.configuration_version,
             "directory_hosts": len(self.fleet_state.directory.hosts),
             "directory_held_removals": len(self.fleet_state.directory.held_removals),
+            "directory_contested_addresses": (
+                self.fleet_state.directory.contested_count
+            ),
             "links_unreachable": self.links.unreachable_count,
             "directory_revision": self.fleet_state.directory.complete_revision,
             "knowledge_age_seconds": round(
@@ -295,9 +298,10 @@
         self.executor.apply_backend()
         self.links.retain_only(self.fleet_state.directory.hosts)
 
-    def _maintain_links(self):
+    def _tick(self):
         self.links.tick()
         self.link_server.sweep()
+        self.fleet_state.directory.expire_disproofs(now=time.monotonic())
 
     def _stop_executor(self):
         """Refuse queued calls and notify the peers; running calls continue."""
--- a/src/jackdawlanding/mesh/backendnotice.py
+++ b/src/jackdawlanding/mesh/backendnotice.py
@@ -32,11 +32,12 @@
         """Return whether a backend server said that it is leaving."""
         return self._local.is_leaving(instance)
 
-    def record_answer(self, *, call, sent_at, outcome, response):
+    def record_answer(self, *, instance, sent_at, outcome, response):
         """Record what the response to a call says.
 
         A misdirected request was answered by another backend server.
 
+        :param instance: the instance that the request expected.
         :param sent_at: when the call was sent, in ``time.monotonic()`` seconds.
         :param response: ``None`` without a complete one.
         """
@@ -48,7 +49,7 @@
         has_changed = self._local.record_answer(
             now=now,
             sent_at=sent_at,
-            instance=call.instance,
+            instance=instance,
             notice=answers.decode_notice(response),
             is_success=classification.is_success(outcome, response),
         )
@@ -71,14 +72,16 @@
         if self._local.identify(instance=backend.instance, born=backend.born):
             self._apply(time.monotonic(), "directory")
 
-    def make_dated(self, call):
+    def make_dated(self, call, *, instance):
         """Return the :class:`notices.DatedNotice` for the reply to a call, or ``None``.
 
         An empty notice is told only to a caller that knows another one.
+
+        :param instance: the instance that the call's request expected.
         """
         if self.current == notices.EMPTY and call.notice is None:
             return None
-        return self._local.get(call.instance)
+        return self._local.get(instance)
 
     def _apply(self, now, source):
         notice = self.current
--- a/src/jackdawlanding/mesh/classification.py
+++ b/src/jackdawlanding/mesh/classification.py
@@ -59,9 +59,9 @@
         if not result.sent:
             return NOT_RUN, False, result.reason
         return UNKNOWN, True, result.reason
-    if response.status == MISDIRECTED_STATUS or response.get_header(
-        headers.NOT_EXECUTED.lower()
-    ):
+    if response.status == MISDIRECTED_STATUS:
+        return NOT_RUN, True, "misdirected"
+    if response.get_header(headers.NOT_EXECUTED.lower()):
         return NOT_RUN, True, "not-executed"
     if response.get_header(b"content-encoding"):
         return UNKNOWN, True, "encoded"
--- a/src/jackdawlanding/mesh/dispatcher.py
+++ b/src/jackdawlanding/mesh/dispatcher.py
@@ -55,6 +55,7 @@
         self._fleet_state = fleet_state
         self._links = links
         self._executor = executor
+        self._metrics = metrics
         self._local_link = exchanges.LocalLink(executor=executor)
         self._selector = selection.Selector(
             region=settings.region,
@@ -196,6 +197,7 @@
             remaining=max(0.01, exchange.objective - now),
             is_nested=exchange.is_nested,
             exclude=exchange.tried | self._notices.leaving,
+            doubted=self._fleet_state.directory.doubted,
         )
 
     def _can_end(self, exchange, backend, now):
@@ -248,10 +250,11 @@
         instance = exchange.backend.instance
         load = reply.load if reply.load.limit else None
         self._selector.record_end(now=now, instance=instance, load=load)
+        backend = self._record_occupant(exchange.backend, reply)
         if reply.notice is not None:
             self._notices.record(
                 now=now,
-                backend=exchange.backend,
+                backend=backend,
                 dated=notices.make_dated(reply.notice),
                 is_answer=reply.outcome == outcomes.Outcome.DONE,
                 directory=self._fleet_state.directory,
@@ -260,6 +263,8 @@
             return
         exchange.number = 0
         exchange.arrivals += bool(reply.arrived)
+        if reply.arrived > 1:
+            self._retry_policy.charge(exchange, reply.arrived - 1)
         try:
             _REPLY_HANDLERS[reply.outcome](self, exchange, reply, now)
         except Exception:
@@ -267,6 +272,25 @@
                 exchange.may_have_run = True
             self._handle_exception(exchange)
 
+    def _record_occupant(self, backend, reply):
+        """Record who runs at the address of a call's backend server; return it."""
+        fleet_state = self._fleet_state
+        directory = fleet_state.directory
+        if reply.outcome != outcomes.Outcome.DONE:
+            if reply.reason in _DISPROVING_REASONS:
+                if fleet_state.disprove(backend.instance, source="entry"):
+                    self._metrics.count("records_disproved")
+            elif reply.reason in _UNREACHABLE_REASONS:
+                directory.forget_occupant(backend.host, backend.port)
+            return backend
+        occupant = directory.get(reply.reason or backend.instance)
+        if occupant is None:
+            return backend
+        directory.confirm_occupant(instance=occupant.instance)
+        if (occupant.host, occupant.port) != (backend.host, backend.port):
+            fleet_state.disprove(backend.instance, source="entry")
+        return occupant
+
     def _handle_exception(self, exchange):
         """Log the current exception, and answer the request that it ends."""
         logger.exception(
@@ -311,9 +335,7 @@
                 self._fail(exchange, reply.reason)
                 return
         elif reply.reason in _UNREACHABLE_REASONS:
-            self._selector.avoid(
-                now=now, instance=instance, seconds=selection.UNREACHABLE_SECONDS
-            )
+            self._avoid_unreachable(exchange.backend, now)
         else:
             self._selector.avoid(now=now, instance=instance)
         self._submit(exchange)
@@ -322,15 +344,20 @@
         instance = exchange.backend.instance
         self._selector.record_failure(now=now, instance=instance)
         if reply.reason in _UNREACHABLE_REASONS:
-            self._selector.avoid(
-                now=now, instance=instance, seconds=selection.UNREACHABLE_SECONDS
-            )
+            self._avoid_unreachable(exchange.backend, now)
         exchange.may_have_run = True
         if self._may_retry(exchange):
             self._retry(exchange, reply.reason)
         else:
             self._fail(exchange, reply.reason)
 
+    def _avoid_unreachable(self, backend, now):
+        """Avoid a backend server that can't be reached, whatever records name it."""
+        for instance in self._fleet_state.directory.list_at_host(backend.host):
+            self._selector.avoid(
+                now=now, instance=instance, seconds=selection.UNREACHABLE_SECONDS
+            )
+
     def _may_retry(self, exchange):
         """Return whether a request that may have run is retried; spend the budget."""
         return self._retry_policy.may_retry(exchange) and self._reserve_retry(exchange)
@@ -412,6 +439,8 @@
         self._retry_policy.set_daemon_count(directory.daemon_count)
 
 
+# Reasons that tell that an instance doesn't run at its address.
+_DISPROVING_REASONS = frozenset({"misdirected", "other-service"})
 # Reasons after which an instance can't be reached for a while.
 _UNREACHABLE_REASONS = frozenset(
     {
--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -14,6 +14,7 @@
     classification,
     health,
     messages,
+    occupant,
 )
 from jackdawlanding.platform import headers
 from jackdawlanding.wire import http
@@ -27,6 +28,9 @@
 # How long an answer may come after its deadline: the backend server stops at the
 # deadline, and the caller's daemon has answered then.
 OVERDUE_SECONDS = 1.0
+# How many instances one request expects in turn. Arrivals that the backend server
+# refuses count against the budget of retries.
+MAXIMUM_EXPECTED = 3
 # Headers of an answer that reach the caller whatever its Connection header names.
 _KEPT_HEADERS = http.END_TO_END_HEADERS | headers.END_TO_END
 # The Retry-After value of paced work: some of its executions have ended by then.
@@ -44,9 +48,11 @@
         "call",
         "attempt",
         "fingerprint",
+        "instance",
         "is_ended",
         "lacked_capacity",
         "job",
+        "misdirected",
         "respond",
     )
 
@@ -56,6 +62,9 @@
         self.job = None
         self.attempt = None
         self.fingerprint = None
+        # The instance that the request expects, and those that it expected before.
+        self.instance = call.instance
+        self.misdirected = ()
         self.is_ended = False
         # Whether a nested call of this execution was refused for lack of capacity.
         self.lacked_capacity = False
@@ -96,9 +105,18 @@
             loop=loop,
             address=address,
             on_crash=self._record_crash,
-            on_down=lambda: self._refuse_queued("down"),
+            on_down=self._handle_down,
             log=log,
         )
+        self.occupant = occupant.LocalOccupant(
+            loop=loop,
+            service=service,
+            pool=self._pool,
+            fleet_state=fleet_state,
+            is_leaving=self.notice.is_leaving,
+            on_change=self.apply_backend,
+            metrics=metrics,
+        )
         self.is_shutting_down = False
         self._ends_at = float("inf")
         self._running = set()
@@ -106,13 +124,6 @@
         self._running_by_id = {}
         self._admission_timer = None
 
-    @property
-    def backend(self):
-        """The backend server's entry in the directory, or ``None``."""
-        return self._fleet_state.directory.find_by_address(
-            *self.address, service=self.service
-        )
-
     @property
     def in_flight(self):
         """The number of calls that run or are queued."""
@@ -153,7 +164,7 @@
             self._refuse(execution, reason, retry_after=seconds)
             return
         if call.notice is not None:
-            self.notice.adopt(call=call, backend=self.backend)
+            self.notice.adopt(call=call, backend=self.occupant.backend)
         now = time.monotonic()
         execution.job = slots.Job(
             kind=call.route,
@@ -210,7 +221,7 @@
 
     def apply_backend(self):
         """Apply the backend server's entry in the directory: slots and draining."""
-        backend = self.backend
+        backend = self.occupant.backend
         if backend is None:
             self._refuse_queued("gone")
             return
@@ -220,7 +231,7 @@
             logger.info(
                 "host: slots of %s changed to %d.", backend.instance, backend.slots
             )
-        if backend.is_draining:
+        if not self.occupant.may_run():
             self._refuse_queued("draining")
 
     def make_load(self):
@@ -241,15 +252,11 @@
         if not self.health.is_up:
             return "down"
         if call.service != self.service:
-            return "other-service"
-        directory = self._fleet_state.directory
-        backend = directory.get(call.instance)
-        if backend is None and directory.get_revision(call.instance):
-            return "gone"
-        if backend is not None and backend.is_draining:
-            return "draining"
-        if self.notice.is_leaving(call.instance):
-            return "draining"
+            # Another daemon may be about to start here beside another backend server.
+            return "other-service" if self._ends_at == float("inf") else "leaving"
+        _, reason = self.occupant.choose(call)
+        if reason:
+            return reason
         quarantine = self._fleet_state.quarantine
         if len(quarantine):
             execution.fingerprint = classification.make_fingerprint(call)
@@ -276,22 +283,31 @@
         self._running.add(execution)
         self._running_by_id[call.request_id] = execution
         self.pacing_limits.get(call.route).begin()
+        execution.instance, reason = self.occupant.choose(call)
+        if reason:
+            self._end_unsent(execution, reason)
+        else:
+            self._send(execution)
+
+    def _send(self, execution):
+        """Send a running call, which expects ``execution.instance``."""
         try:
             execution.attempt = self._make_attempt(execution)
             self._metrics.count("host_arrivals")
-            self._pool.send(execution.attempt, needs_recent=not call.is_safe)
+            self._pool.send(execution.attempt, needs_recent=not execution.call.is_safe)
         except Exception:
             self._log_failure(execution, "host: A call can't be sent.")
             attempt = execution.attempt
             was_sent = attempt is not None and attempt.connection is not None
             if attempt is not None:
                 attempt.cancel()
-            self._end(
-                execution,
-                backends.Result(response=None, reason="failed", sent=was_sent),
-            )
-            # Not at once: each of many waiting calls may fail.
-            self._loop.call_soon(self._run_next)
+            self._end_unsent(execution, "failed", sent=was_sent)
+
+    def _end_unsent(self, execution, reason, *, sent=False):
+        """End a running call that can't be sent, or only in part."""
+        self._end(execution, backends.Result(response=None, reason=reason, sent=sent))
+        # Not at once: each of many waiting calls may fail.
+        self._loop.call_soon(self._run_next)
 
     def _make_attempt(self, execution):
         call = execution.call
@@ -300,7 +316,7 @@
         pairs += [
             (headers.DEADLINE, b"%d" % max(1, int(remaining * 1000))),
             (headers.CALLER, call.caller.encode("latin-1")),
-            (headers.EXPECTED_INSTANCE, call.instance.encode("latin-1")),
+            (headers.EXPECTED_INSTANCE, execution.instance.encode("latin-1")),
         ]
         return backends.Attempt(
             data=http.format_request(
@@ -317,9 +333,36 @@
         )
 
     def _finish(self, execution, result):
+        response = result.response
+        if (
+            response is not None
+            and response.status == classification.MISDIRECTED_STATUS
+        ):
+            self.occupant.disprove(execution.instance)
+            execution.misdirected += (execution.instance,)
+            if self._expect_next(execution):
+                return
         self._end(execution, result)
         self._run_next()
 
+    def _expect_next(self, execution):
+        """Send a misdirected call again for another instance; return whether.
+
+        It has not run, and keeps its slot.
+        """
+        if len(execution.misdirected) >= MAXIMUM_EXPECTED:
+            return False
+        if execution.job.deadline <= time.monotonic():
+            return False
+        instance, _ = self.occupant.choose(
+            execution.call, exclude=execution.misdirected
+        )
+        if not instance:
+            return False
+        execution.instance = instance
+        self._send(execution)
+        return True
+
     def _end(self, execution, result):
         """Release the slot of a call and answer it."""
         try:
@@ -328,6 +371,8 @@
             self._log_failure(execution, "host: An answer can't be read.")
             result = backends.Result(response=None, reason="failed", sent=True)
             outcome, arrived, reason = classification.classify(result)
+        if outcome is classification.DONE:
+            self.occupant.confirm(execution.instance)
         self._release(execution, is_success=outcome is classification.DONE)
         if reason == "unreachable":
             self.health.mark_down()
@@ -348,7 +393,7 @@
         """Return what the result of a call means, and obey the notice in it."""
         outcome, arrived, reason = classification.classify(result)
         self.notice.record_answer(
-            call=execution.call,
+            instance=execution.instance,
             sent_at=execution.job.admitted_at,
             outcome=outcome,
             response=result.response,
@@ -436,14 +481,14 @@
         reply = messages.Reply(
             number=call.number,
             outcome=outcome,
-            arrived=arrived,
-            reason=reason,
+            arrived=_count_arrivals(execution, arrived, reason),
+            reason=reason or _name_other(execution, outcome),
             status=response.status if response else 0,
             headers=flat_headers,
             body=response.body if response else b"",
             retry_after=retry_after,
             load=self.make_load(),
-            notice=self.notice.make_dated(call),
+            notice=self.notice.make_dated(call, instance=execution.instance),
         )
         try:
             respond(reply)
@@ -451,6 +496,11 @@
             # What comes next, such as a reply to another call, must not be lost.
             self._log_failure(execution, "host: A reply can't be taken.")
 
+    def _handle_down(self):
+        """Handle the end of the backend server; another one may start in its place."""
+        self.occupant.forget()
+        self._refuse_queued("down")
+
     def _refuse_queued(self, reason):
         for job in self.controller.drain():
             self._refuse(job.token, reason)
@@ -458,6 +508,7 @@
     def _sweep(self):
         self._pool.sweep()
         self._give_up_overdue()
+        self.occupant.check()
         if self.controller.queued:
             self._run_next()
 
@@ -483,3 +534,15 @@
                 request=call.request_id,
                 deaths=crashes,
             )
+
+
+def _count_arrivals(execution, arrived, reason):
+    """Return how often a request reached the backend server."""
+    is_last_counted = reason == "misdirected"
+    return len(execution.misdirected) + (bool(arrived) and not is_last_counted)
+
+
+def _name_other(execution, outcome):
+    """Return the instance that answered if the call named another one, else ``""``."""
+    is_other = execution.instance != execution.call.instance
+    return execution.instance if outcome is classification.DONE and is_other else ""
--- a/src/jackdawlanding/mesh/gossip.py
+++ b/src/jackdawlanding/mesh/gossip.py
@@ -119,10 +119,20 @@
     def put(self, *, instance, revision, backend, source):
         """Store one record of the directory; return whether it changed anything."""
         held = set(self.directory.held_removals)
+        contested_count = self.directory.contested_count
         changed = self.directory.put(
             now=time.monotonic(), instance=instance, revision=revision, backend=backend
         )
         self._note_held(held, source)
+        if self.directory.contested_count > contested_count:
+            self._log.note(
+                "directory",
+                "Several records name one address.",
+                instance=instance,
+                address=f"{backend.host}:{backend.port}",
+                service=backend.service,
+                source=source,
+            )
         if changed:
             self._log.note(
                 "directory",
@@ -159,6 +169,31 @@
             )
             self._notify("directory")
 
+    def get_health_path(self, service):
+        """Return the target of a service's health checks, ``""`` if unknown."""
+        if self.route_table is None:
+            return ""
+        known = self.route_table.configuration.services.get(service)
+        return known.health_path if known else ""
+
+    def disprove(self, instance, *, source):
+        """Record that an instance doesn't run at its address; return whether it is new.
+
+        :param source: who found out: the daemon beside it, or one that called it.
+        """
+        if not self.directory.disprove(now=time.monotonic(), instance=instance):
+            return False
+        backend = self.directory.get(instance)
+        self._log.note(
+            "directory",
+            "A record is disproved: another backend server runs at its address.",
+            instance=instance,
+            address=f"{backend.host}:{backend.port}",
+            service=backend.service,
+            source=source,
+        )
+        return True
+
     def record_crash(self, fingerprint):
         """Attribute a crash to a request; return the number of its crashes."""
         crashes = self.quarantine.record_crash(
--- a/src/jackdawlanding/mesh/messages.py
+++ b/src/jackdawlanding/mesh/messages.py
@@ -68,9 +68,14 @@
 class Reply(typing.NamedTuple):
     """Ends a call.
 
-    ``outcome`` is the value of an ``outcomes.Outcome``; ``arrived`` tells that
-    the request reached the backend server, whether it ran or not. ``notice`` is
-    the :class:`notices.DatedNotice` of the backend server, ``None`` without one.
+    ``outcome`` is the value of an ``outcomes.Outcome``; ``arrived`` tells how often
+    the request reached the backend server, whether it ran or not: more than once if
+    requests before the last one expected another instance. ``notice`` is the
+    :class:`notices.DatedNotice` of the backend server, ``None`` without one.
+
+    ``reason`` says why there is no answer. With an answer it is the instance that gave
+    it, if the call named another one at its address; daemons of earlier versions
+    ignore it there.
     """
 
     number: int
--- a/src/jackdawlanding/mesh/retries.py
+++ b/src/jackdawlanding/mesh/retries.py
@@ -42,6 +42,10 @@
         self._metrics.count("entry_budget_spent")
         return False
 
+    def charge(self, exchange, amount):
+        """Charge the budget for arrivals beyond the first at one backend server."""
+        self._get_budget(exchange.service).charge(amount)
+
     def record_result(self, exchange, *, is_success):
         """Record whether a retry succeeded."""
         self._effectiveness.record(exchange.route.name, is_success=is_success)
--- a/src/jackdawlanding/platform/documents.py
+++ b/src/jackdawlanding/platform/documents.py
@@ -159,8 +159,10 @@
 
 
 def _add_service(fields, entry):
-    fields["services"][str(entry["metadata"]["name"])] = int(
-        entry["spec"].get("maxConnections", 0)
+    spec = entry["spec"]
+    fields["services"][str(entry["metadata"]["name"])] = routes.Service(
+        connections=int(spec.get("maxConnections", 0)),
+        health_path=str(spec.get("healthCheckPath") or ""),
     )
 
 
--- a/src/jackdawlanding/platform/headers.py
+++ b/src/jackdawlanding/platform/headers.py
@@ -5,6 +5,8 @@
 # The service of the instance where the request began; the daemon always sets it.
 CALLER = b"X-Caller-Service"
 EXPECTED_INSTANCE = b"X-Expected-Instance"
+# The name of the backend server in the answer to a health check.
+INSTANCE_ID = b"X-Instance-Id"
 SIGNATURE = b"X-Server-Signature"
 NOT_EXECUTED = b"X-Not-Executed"
 RETRY_AFTER = b"Retry-After"
--- a/tests/test_mesh_contests.py
+++ b/tests/test_mesh_contests.py
@@ -46,6 +46,87 @@
                 mesh.wait_ready(7)
                 self.check_served(mesh)
 
+    def test_sound_copies_take_no_server_away(self):
+        """All orders got 503 for as long as one copy of each server's entry stood."""
+        now = int(time.time() * 1000)
+        for fields in (
+            {"born": now},
+            {"born": 2**62},
+            {"born": 1},
+            {"state": "draining"},
+            {"state": "draining", "born": now},
+            {"zone": "nowhere", "version": "\0", "born": now},
+            {"service": "desk", "born": now},
+        ):
+            with self.subTest(fields=fields), self.make() as mesh:
+                self.check_served(mesh)
+                self.write_copies(mesh, **fields)
+                self.check_served(mesh)
+                for number in range(4):
+                    mesh.members[number].stop()
+                    mesh.members[number].start()
+                    mesh.wait_ready(7)
+                    self.check_served(mesh)
+
+    def test_copies_that_were_there_before_the_daemons_take_no_server_away(self):
+        """The daemons know nothing of who answered."""
+        for is_checked in (True, False):
+            with (
+                self.subTest(is_checked=is_checked),
+                self.make(start=False) as mesh,
+            ):
+                for member in mesh.members:
+                    member.backend_server.is_checked = is_checked
+                self.write_copies(mesh, born=2**62)
+                for member in mesh.members:
+                    member.start()
+                    self.addCleanup(member.stop)
+                mesh.wait_ready(7)
+                self.check_served(mesh)
+                for member in mesh.members:
+                    member.stop()
+
+    def test_a_copy_that_drains_drains_no_other_and_a_ready_one_keeps_none(self):
+        with self.make() as mesh:
+            bank = mesh.members[1]
+            self.write_copies(mesh, state="draining", born=2**62)
+            self.check_served(mesh)
+            self.write_copies(mesh, state="ready", born=2**62)
+            entry = bank.backend_server.make_entry(host=bank.host, state="draining")
+            mesh.store.put(f"servers/{bank.backend_server.instance}", entry)
+            time.sleep(SPREAD_SECONDS)
+            before = len(bank.backend_server.runs)
+            for _ in range(CALLS):
+                for member in mesh.members:
+                    self.assertEqual(member.call("/pay/1", method="POST")[0], 200)
+            self.assertEqual(len(bank.backend_server.runs), before)
+
+    def test_two_hundred_copies_cost_few_arrivals(self):
+        with self.make() as mesh:
+            self.write_copies(mesh, count=200, born=2**62)
+            self.check_served(mesh)
+            for member in mesh.members[1:]:
+                member.stop()
+                member.start()
+            mesh.wait_ready(604)
+            time.sleep(SPREAD_SECONDS)
+            self.check_served(mesh)
+            for member in mesh.members[1:]:
+                server = member.backend_server
+                refused = len(server.seen) - len(server.runs)
+                self.assertLess(refused, 10)
+                self.assertLess(server.checks, 5)
+
+    def test_a_server_that_starts_again_under_another_name_is_used_at_once(self):
+        with self.make() as mesh:
+            self.check_served(mesh)
+            bank = mesh.members[1]
+            bank.backend_server.instance = "i-9"
+            entry = bank.backend_server.make_entry(host=bank.host)
+            mesh.store.put("servers/i-9", {**entry, "born": 2})
+            time.sleep(SPREAD_SECONDS)
+            self.check_served(mesh)
+
     def test_copies_count_once_a_configuration_names_their_service(self):
         with self.make() as mesh:
             route = configurations.make_route("spare", service="spare")
