Write copies of live servers' entries throughout the soak

Copies that are sound in each field stand at live servers' addresses while the other faults are played, and come and go.

--- a/tests/oddentries.py
+++ b/tests/oddentries.py
@@ -1,7 +1,9 @@
 """Entries of another writer, which name no backend server."""
 
 import json
+import time
 
+NOW = int(time.time() * 1000)
 # Fields of a sound entry, with values that no backend server writes.
 ODD_FIELDS = (
     ("maxConcurrency", 10**30),
@@ -87,6 +89,21 @@
 )
 
 
+# What a copy of a live server's entry may say that is sound in each field. The service
+# ``nosuch`` is one that no configuration names.
+SOUND_FIELDS = (
+    {},
+    {"born": NOW},
+    {"born": 2**62},
+    {"born": 1},
+    {"state": "draining"},
+    {"state": "draining", "born": NOW},
+    {"zone": "nowhere", "version": "\0", "born": NOW},
+    {"service": "nosuch", "born": NOW},
+    {"service": "nosuch", "born": 2**62, "state": "draining"},
+)
+
+
 def list_odd_entries(good):
     """Return pairs of a label and the bytes of an odd entry.
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -47,6 +47,7 @@
 DRAIN_SECONDS = 2.5
 CONFIGURATION_SECONDS = 2.5
 ODD_ENTRY_SECONDS = 0.2
+COPIES = 3
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Requests with these last path segments get odd answers.
 BEHAVIOURS = ("shed", "twice", "other-first", "refusal-again", "part-of-head", "nested")
@@ -305,8 +306,38 @@
         while not self._stopping.is_set():
             self.store.put(draw.choice(keys), draw.choice(odd))
             self.store.put(draw.choice(oddentries.ODD_KEYS), good)
+            self._write_copy(draw, draw.choice(self.members), draw.randrange(COPIES))
             time.sleep(ODD_ENTRY_SECONDS)
 
+    def _write_copy(self, draw, member, number):
+        """Write or remove a copy of a live server's entry, sound in each field."""
+        fields = draw.choice((None, *oddentries.SOUND_FIELDS))
+        key = f"servers/backup-{number}-{member.backend_server.instance}"
+        self.store.put(
+            key, None if fields is None else {**member.make_entry(), **fields}
+        )
+
+    def _check_copies(self):
+        """Check that all is served while copies of all servers' entries stand."""
+        draw = random.Random(self.seed + 1)
+        for member in self.members:
+            self._write_copy(draw, member, 0)
+        time.sleep(CONFIGURATION_SECONDS)
+        for member in self.members:
+            for is_safe in (True, False) * 3:
+                connection = member.connect()
+                record, _ = self.send(
+                    member,
+                    connection,
+                    number=f"q{next(self.numbers)}",
+                    is_safe=is_safe,
+                    path="1",
+                    deadline=DEADLINE_MILLIS,
+                )
+                connection.close()
+                if record.status != 200:
+                    self.broken.append(f"not served beside copies: {record}")
+
     def _check_followed(self):
         """Check that all daemons run and follow the store once the faults are over."""
         time.sleep(STABLE_SECONDS)
@@ -320,6 +351,7 @@
             if not member.shows(configuration_version=version):
                 self.broken.append(f"{member.host} does not know version {version}")
         self._check_slots()
+        self._check_copies()
 
     def _check_slots(self):
         """Check that all slots are free while the callers send nothing."""
--- a/tests/test_mesh_contests.py
+++ b/tests/test_mesh_contests.py
@@ -2,7 +2,7 @@
 
 import time
 
-from tests import configurations, meshes
+from tests import configurations, meshes, oddentries
 
 # What the platform's rules give all daemons to obey the store, and longer than an entry
 # takes to reach all of them.
@@ -48,16 +48,8 @@
 
     def test_sound_copies_take_no_server_away(self):
         """All orders got 503 for as long as one copy of each server's entry stood."""
-        now = int(time.time() * 1000)
-        for fields in (
-            {"born": now},
-            {"born": 2**62},
-            {"born": 1},
-            {"state": "draining"},
-            {"state": "draining", "born": now},
-            {"zone": "nowhere", "version": "\0", "born": now},
-            {"service": "desk", "born": now},
-        ):
+        other_service = {"service": "desk", "born": oddentries.NOW}
+        for fields in (*oddentries.SOUND_FIELDS, other_service):
             with self.subTest(fields=fields), self.make() as mesh:
                 self.check_served(mesh)
                 self.write_copies(mesh, **fields)
