Choose the instance that a request expects once a call

Each call chose its instance twice, and looked the occupant of an address up through three functions.

Change: a call chooses once, and again only if it has waited; the occupant of an address is one look in a dictionary, and an answer of the known occupant ends there.

--- a/src/jackdawlanding/decisions/directory.py
+++ b/src/jackdawlanding/decisions/directory.py
@@ -152,9 +152,12 @@
         ]
         return sorted(records, key=occupants.get_age_key, reverse=True)
 
-    def get_occupant(self, host, port):
-        """Return the instance that answered last at an address, ``""`` if unknown."""
-        return self._occupants.get((host, port))
+    def get_occupant(self, address):
+        """Return the instance that answered last at an address, ``""`` if unknown.
+
+        :param address: a pair of host and port.
+        """
+        return self._occupants.names.get(address, "")
 
     def confirm_occupant(self, *, instance):
         """Record that an instance answered at its address.
@@ -165,20 +168,21 @@
         if backend is None:
             return False
         address = _get_address(backend)
-        has_changed = self._occupants.confirm(address, instance)
-        if has_changed and address in self._contested:
+        if self.get_occupant(address) == instance:
+            return False
+        self._occupants.names[address] = instance
+        if address in self._contested:
             self._choose_records(address)
-        return has_changed
+        return True
 
     def is_disproved(self, instance):
         """Return whether the record of an instance is disproved."""
         record = self._records.get(instance)
         return bool(record and record.backend) and self._occupants.is_disproved(record)
 
-    def forget_occupant(self, host, port):
+    def forget_occupant(self, address):
         """Forget who answered at an address: its backend server may have ended."""
-        address = host, port
-        if self._occupants.forget(address) and address in self._contested:
+        if self._occupants.names.pop(address, None) and address in self._contested:
             self._choose_records(address)
 
     def disprove(self, *, now, instance):
@@ -191,8 +195,8 @@
             return False
         address = _get_address(record.backend)
         is_new = self._occupants.disprove(now=now, record=record)
-        if self._occupants.get(address) == instance:
-            self._occupants.forget(address)
+        if self.get_occupant(address) == instance:
+            self._occupants.names.pop(address, None)
         if is_new:
             self._choose_records(address)
         return is_new
@@ -209,9 +213,9 @@
         """The number of addresses that records of several instances name."""
         return len(self._contested)
 
-    def is_contested(self, host, port):
+    def is_contested(self, address):
         """Return whether records of several instances name an address."""
-        return (host, port) in self._contested
+        return address in self._contested
 
     def list_at_host(self, host):
         """Return the names of the instances at a host."""
@@ -404,7 +408,7 @@
             after = self._occupants.choose(address, records)
             self._choices[address] = after
         else:
-            self._occupants.forget(address)
+            self._occupants.names.pop(address, None)
         (self._contested.add if len(records) > 1 else self._contested.discard)(address)
         self.doubted -= before.doubted
         self.doubted |= after.doubted
--- a/src/jackdawlanding/decisions/occupants.py
+++ b/src/jackdawlanding/decisions/occupants.py
@@ -26,29 +26,15 @@
 class Occupants:
     """Remembers who answered at each address, and which records were disproved.
 
-    Records are ``directory.Record`` objects with a backend.
+    ``names`` maps an address, a pair of host and port, to the instance that answered
+    there last. Records are ``directory.Record`` objects with a backend.
     """
 
     def __init__(self):
-        self._confirmed = {}
+        self.names = {}
         # Until when a record is disproved, by its identity; the oldest first.
         self._disproved = {}
 
-    def get(self, address):
-        """Return the instance that answered last at an address, ``""`` if unknown."""
-        return self._confirmed.get(address, "")
-
-    def confirm(self, address, instance):
-        """Record that an instance answered; return whether another one did before."""
-        if self._confirmed.get(address) == instance:
-            return False
-        self._confirmed[address] = instance
-        return True
-
-    def forget(self, address):
-        """Forget who answered at an address; return whether anybody had."""
-        return self._confirmed.pop(address, None) is not None
-
     def disprove(self, *, now, record):
         """Record that the backend server of a record doesn't run at its address.
 
@@ -81,7 +67,7 @@
         the newest. One that is draining comes after those that are not: a leave binds
         its own instance alone.
         """
-        confirmed = self.get(address)
+        confirmed = self.names.get(address, "")
         sound = [record for record in records if not self.is_disproved(record)]
         by_service = {}
         for record in sorted(
--- a/src/jackdawlanding/mesh/dispatcher.py
+++ b/src/jackdawlanding/mesh/dispatcher.py
@@ -281,7 +281,11 @@
                 if fleet_state.disprove(backend.instance, source="entry"):
                     self._metrics.count("records_disproved")
             elif reply.reason in _UNREACHABLE_REASONS:
-                directory.forget_occupant(backend.host, backend.port)
+                directory.forget_occupant((backend.host, backend.port))
+            return backend
+        if not reply.reason and backend.instance == directory.get_occupant(
+            (backend.host, backend.port)
+        ):
             return backend
         occupant = directory.get(reply.reason or backend.instance)
         if occupant is None:
--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -254,9 +254,10 @@
         if call.service != self.service:
             # Another daemon may be about to start here beside another backend server.
             return "other-service" if self._ends_at == float("inf") else "leaving"
-        _, reason = self.occupant.choose(call)
+        instance, reason = self.occupant.choose(call)
         if reason:
             return reason
+        execution.instance = instance
         quarantine = self._fleet_state.quarantine
         if len(quarantine):
             execution.fingerprint = classification.make_fingerprint(call)
@@ -283,11 +284,19 @@
         self._running.add(execution)
         self._running_by_id[call.request_id] = execution
         self.pacing_limits.get(call.route).begin()
-        execution.instance, reason = self.occupant.choose(call)
-        if reason:
-            self._end_unsent(execution, reason)
-        else:
-            self._send(execution)
+        self._send(execution)
+
+    def _run_waiting(self, execution):
+        """Run a call that has waited: another backend server may have started."""
+        instance, reason = self.occupant.choose(execution.call)
+        if not reason:
+            execution.instance = instance
+            self._run(execution)
+            return
+        now = time.monotonic()
+        self.controller.release(now=now, job=execution.job, is_success=False)
+        self._refuse(execution, reason)
+        self._loop.call_soon(self._run_next)
 
     def _send(self, execution):
         """Send a running call, which expects ``execution.instance``."""
@@ -301,13 +310,12 @@
             was_sent = attempt is not None and attempt.connection is not None
             if attempt is not None:
                 attempt.cancel()
-            self._end_unsent(execution, "failed", sent=was_sent)
-
-    def _end_unsent(self, execution, reason, *, sent=False):
-        """End a running call that can't be sent, or only in part."""
-        self._end(execution, backends.Result(response=None, reason=reason, sent=sent))
-        # Not at once: each of many waiting calls may fail.
-        self._loop.call_soon(self._run_next)
+            self._end(
+                execution,
+                backends.Result(response=None, reason="failed", sent=was_sent),
+            )
+            # Not at once: each of many waiting calls may fail.
+            self._loop.call_soon(self._run_next)
 
     def _make_attempt(self, execution):
         call = execution.call
@@ -426,7 +434,7 @@
         for job in late:
             self._refuse(job.token, "late")
         for job in admitted:
-            self._run(job.token)
+            self._run_waiting(job.token)
         self._schedule_admission(now)
 
     def _schedule_admission(self, now):
--- a/src/jackdawlanding/mesh/occupant.py
+++ b/src/jackdawlanding/mesh/occupant.py
@@ -54,7 +54,7 @@
     @property
     def instance(self):
         """The instance that answered last, ``""`` if none has."""
-        return self._fleet_state.directory.get_occupant(*self._address)
+        return self._fleet_state.directory.get_occupant(self._address)
 
     def may_run(self):
         """Return whether any record of the address takes calls."""
@@ -73,7 +73,7 @@
         """
         directory = self._fleet_state.directory
         confirmed = self.instance
-        if confirmed and confirmed not in exclude and self._takes_calls(confirmed):
+        if confirmed not in exclude and self._takes_calls(confirmed):
             return confirmed, ""
         if call.instance not in exclude and not directory.get_revision(call.instance):
             # The daemon of the caller knows of a later start.
@@ -86,6 +86,8 @@
 
     def confirm(self, instance):
         """Record that the backend server answered as an instance."""
+        if instance == self.instance:
+            return
         directory = self._fleet_state.directory
         if directory.confirm_occupant(instance=instance) and self._is_contested:
             self._on_change()
@@ -97,7 +99,7 @@
 
     def forget(self):
         """Forget who answered: the backend server has ended."""
-        self._fleet_state.directory.forget_occupant(*self._address)
+        self._fleet_state.directory.forget_occupant(self._address)
 
     def check(self):
         """Ask the backend server for its name if the records leave it open."""
@@ -129,7 +131,7 @@
 
     @property
     def _is_contested(self):
-        return self._fleet_state.directory.is_contested(*self._address)
+        return self._fleet_state.directory.is_contested(self._address)
 
     def _record_check(self, result):
         if result.response is None:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -199,7 +199,7 @@
         self.directory.confirm_occupant(instance="i-1")
         self.assertTrue(self.directory.disprove(now=0.0, instance="i-1"))
         self.assertFalse(self.directory.disprove(now=0.0, instance="i-1"))
-        self.assertEqual(self.directory.get_occupant(HOST, 80), "")
+        self.assertEqual(self.directory.get_occupant((HOST, 80)), "")
         self.assertEqual(self.directory.list_service("desk")[0].instance, "i-2")
         self.assertEqual(self.list_names("desk"), ["i-2"])
 
--- a/tests/test_fuzz_occupants.py
+++ b/tests/test_fuzz_occupants.py
@@ -312,7 +312,7 @@
             tried.add(backend.instance)
             reply = self.submit(backend, service)
             if reply is None:
-                known.forget_occupant(backend.host, PORT)
+                known.forget_occupant((backend.host, PORT))
                 continue
             self.record_occupant(caller, backend, reply)
             if reply.outcome == outcomes.Outcome.DONE:
