--- a/tests/test_mesh_contests.py
+++ b/tests/test_mesh_contests.py
@@ -60,6 +60,22 @@
                     mesh.wait_ready(7)
                     self.check_served(mesh)
 
+    def test_copies_at_another_port_of_a_live_host_take_no_server_away(self):
+        """Their calls reach the daemon of the live server, which knows its address."""
+        for fields in ({"born": 2**62}, {"state": "draining"}):
+            with self.subTest(fields=fields), self.make() as mesh:
+                for number, member in enumerate(mesh.members[1:]):
+                    good = member.backend_server.make_entry(
+                        host=member.host, failure_domain=member.failure_domain
+                    )
+                    copy = {**good, "address": f"{member.host}:1", **fields}
+                    mesh.store.put(f"servers/backup-{number}", copy)
+                time.sleep(SPREAD_SECONDS)
+                self.check_served(mesh)
+                for member in mesh.members[1:]:
+                    server = member.backend_server
+                    self.assertEqual(len(server.seen), len(server.runs))
+
     def test_copies_that_were_there_before_the_daemons_take_no_server_away(self):
         """The daemons know nothing of who answered."""
         for is_checked in (True, False):
