Wait in tests until no daemon avoids one that started after it

Cause: the daemons of a mesh start one after the other. One that has read the store already opens links to those that don't listen yet, and avoids a peer whose port refuses for 1 s. A test that calls within that second finds only its near server, which leaves.

Ruled out: the judge of contested addresses.

Change: a mesh is up once its daemons are ready and no link is avoided; checks are as they were.

--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -171,6 +171,20 @@
                 member.start()
                 self.callback(member.stop)
             self.wait_ready()
+            self._wait_reachable()
+
+    def _wait_reachable(self):
+        """Wait until no daemon avoids one that had not started to listen yet."""
+        wait_until(
+            lambda: (
+                not any(
+                    member.run_in_loop(
+                        lambda m=member: m.daemon.links.unreachable_count
+                    )
+                    for member in self.members
+                )
+            )
+        )
 
     def wait_ready(self, count=None):
         """Wait until all members know ``count`` backend servers, by default all."""
