Free the slot of a call whatever fails while its instance is found

Cause: found on reading the change.

Measured: both new tests fail before (three conditions not met in 6 s) and pass.

--- a/src/jackdawlanding/mesh/classification.py
+++ b/src/jackdawlanding/mesh/classification.py
@@ -48,6 +48,11 @@
     return answers.decode_retry_after(response)
 
 
+def is_misdirected(result):
+    """Return whether a ``backends.Result`` says that another instance runs here."""
+    return result.response is not None and result.response.status == MISDIRECTED_STATUS
+
+
 def classify(result):
     """Return ``(outcome, arrived, reason)`` of a ``backends.Result``.
 
@@ -59,7 +64,7 @@
         if not result.sent:
             return NOT_RUN, False, result.reason
         return UNKNOWN, True, result.reason
-    if response.status == MISDIRECTED_STATUS:
+    if is_misdirected(result):
         return NOT_RUN, True, "misdirected"
     if response.get_header(headers.NOT_EXECUTED.lower()):
         return NOT_RUN, True, "not-executed"
--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -288,7 +288,11 @@
 
     def _run_waiting(self, execution):
         """Run a call that has waited: another backend server may have started."""
-        instance, reason = self.occupant.choose(execution.call)
+        try:
+            instance, reason = self.occupant.choose(execution.call)
+        except Exception:
+            self._log_failure(execution, "host: A waiting call can't be run.")
+            reason = "failed"
         if not reason:
             execution.instance = instance
             self._run(execution)
@@ -341,23 +345,24 @@
         )
 
     def _finish(self, execution, result):
-        response = result.response
-        if (
-            response is not None
-            and response.status == classification.MISDIRECTED_STATUS
-        ):
-            self.occupant.disprove(execution.instance)
-            execution.misdirected += (execution.instance,)
-            if self._expect_next(execution):
-                return
-        self._end(execution, result)
-        self._run_next()
+        try:
+            is_sent_again = classification.is_misdirected(result) and self._expect_next(
+                execution
+            )
+        except Exception:
+            self._log_failure(execution, "host: A misdirected call ends.")
+            is_sent_again = False
+        if not is_sent_again:
+            self._end(execution, result)
+            self._run_next()
 
     def _expect_next(self, execution):
         """Send a misdirected call again for another instance; return whether.
 
         It has not run, and keeps its slot.
         """
+        execution.misdirected += (execution.instance,)
+        self.occupant.disprove(execution.instance)
         if len(execution.misdirected) >= MAXIMUM_EXPECTED:
             return False
         if execution.job.deadline <= time.monotonic():
@@ -379,8 +384,6 @@
             self._log_failure(execution, "host: An answer can't be read.")
             result = backends.Result(response=None, reason="failed", sent=True)
             outcome, arrived, reason = classification.classify(result)
-        if outcome is classification.DONE:
-            self.occupant.confirm(execution.instance)
         self._release(execution, is_success=outcome is classification.DONE)
         if reason == "unreachable":
             self.health.mark_down()
@@ -398,7 +401,7 @@
         )
 
     def _classify(self, execution, result):
-        """Return what the result of a call means, and obey the notice in it."""
+        """Return what the result of a call means, and note what its answer tells."""
         outcome, arrived, reason = classification.classify(result)
         self.notice.record_answer(
             instance=execution.instance,
@@ -406,6 +409,8 @@
             outcome=outcome,
             response=result.response,
         )
+        if outcome is classification.DONE:
+            self.occupant.confirm(execution.instance)
         return outcome, arrived, reason
 
     def _log_failure(self, execution, text):
@@ -516,9 +521,9 @@
     def _sweep(self):
         self._pool.sweep()
         self._give_up_overdue()
-        self.occupant.check()
         if self.controller.queued:
             self._run_next()
+        self.occupant.check()
 
     def _give_up_overdue(self):
         """End calls whose answer nobody awaits any more.
--- a/src/jackdawlanding/mesh/occupant.py
+++ b/src/jackdawlanding/mesh/occupant.py
@@ -38,7 +38,6 @@
         self._is_leaving = is_leaving
         self._on_change = on_change
         self._metrics = metrics
-        self._check_attempt = None
         self._checked_at = float("-inf")
 
     @property
@@ -112,7 +111,7 @@
         if not target:
             return
         self._checked_at = now
-        self._check_attempt = attempt = backends.Attempt(
+        attempt = backends.Attempt(
             data=http.format_request(
                 method="GET",
                 target=target,
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -121,6 +121,45 @@
         )
         self.check(1, outcomes.Outcome.DONE)
 
+    def test_a_failure_while_the_occupant_is_found_frees_the_slots(self):
+        """What fails between a call's wait or answer and its end must not keep it."""
+        self.backend_server.seconds = 0.2
+        self.submit(1)
+        waiting = range(2, 6)
+        for number in waiting:
+            self.submit(number)
+        with (
+            mock.patch.object(
+                self.executor.occupant, "choose", side_effect=ZeroDivisionError
+            ),
+            self.assertLogs("jackdaw.host", "ERROR"),
+        ):
+            self.run_until(1, *waiting)
+        self.assertEqual(
+            {self.replies[number].outcome for number in waiting},
+            {outcomes.Outcome.NOT_RUN},
+        )
+        self.check(1, outcomes.Outcome.DONE)
+
+    def test_a_failure_after_an_answer_frees_the_slot(self):
+        for number, (method, instance, outcome) in enumerate(
+            (
+                ("confirm", "i-1", outcomes.Outcome.UNKNOWN),
+                ("disprove", "i-2", outcomes.Outcome.NOT_RUN),
+            )
+        ):
+            with self.subTest(method=method):
+                self.executor.occupant.forget()
+                with (
+                    mock.patch.object(
+                        self.executor.occupant, method, side_effect=ZeroDivisionError
+                    ),
+                    self.assertLogs("jackdaw.host", "ERROR"),
+                ):
+                    self.submit(number, instance=instance)
+                    self.run_until(number)
+                self.check(number, outcome)
+
     def test_a_call_without_a_descriptor_for_its_connection_has_not_run(self):
         with mock.patch.object(streams.socket, "socket", side_effect=OSError(24, "")):
             self.submit(1)
