Refuse malformed calls of other daemons

A call with NaN for the time that is left had no deadline.

Change: the types and ranges of a call's fields are checked when it arrives; a malformed one is answered as not run if its number can be read, or else its link is closed.

--- a/src/jackdawlanding/mesh/messages.py
+++ b/src/jackdawlanding/mesh/messages.py
@@ -4,6 +4,7 @@
 last field that is ``None`` is left out.
 """
 
+import math
 import typing
 
 from jackdawlanding.decisions import outcomes
@@ -52,6 +53,25 @@
     notice: tuple | None = None
 
 
+# The types of a call's fields but for the last one, in their order.
+_CALL_TYPES = tuple(
+    kind for name, kind in Call.__annotations__.items() if name != "notice"
+)
+
+
+def is_sound(call):
+    """Return whether the fields of a :class:`Call` have their types and ranges.
+
+    It may come from a daemon of another version. What it names may be unknown here.
+    """
+    return (
+        tuple(map(type, call[:-1])) == _CALL_TYPES
+        and math.isfinite(call.remaining)
+        and math.isfinite(call.objective)
+        and 0.0 <= call.retry_probability <= 1.0
+    )
+
+
 class Load(typing.NamedTuple):
     """Tells the load of a backend server.
 
--- a/src/jackdawlanding/mesh/serving.py
+++ b/src/jackdawlanding/mesh/serving.py
@@ -183,6 +183,9 @@
         return _is_numbered(hello) and hello.number <= newest
 
     def _handle_call(self, link, call):
+        if not messages.is_sound(call):
+            self._refuse_malformed(link, call)
+            return
         key = (link.hello.incarnation, call.number)
         if key in self._served:
             logger.warning("links: duplicate call %d is ignored.", call.number)
@@ -192,6 +195,18 @@
             call, lambda reply: self._finish(key, served, reply)
         )
 
+    def _refuse_malformed(self, link, call):
+        """Answer a malformed call if its number can be read; close the link if not."""
+        logger.warning("links: a malformed call is refused: %.200r.", call)
+        if type(call.number) is not int:
+            link.stream.close()
+            return
+        link.send(
+            messages.make_failure(
+                call.number, "malformed", outcome=outcomes.Outcome.NOT_RUN
+            )
+        )
+
     def _finish(self, key, served, reply):
         try:
             served.link.send(reply)
