--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,8 @@
 	JACKDAW_FUZZ_EXAMPLES=5000 $(BIN)/python -m nose2 -v tests.test_fuzz_once_only \
 		tests.test_fuzz_admission tests.test_fuzz_publications \
 		tests.test_fuzz_slots tests.test_fuzz_gossip tests.test_fuzz_notices \
-		tests.test_fuzz_documents tests.test_fuzz_link_order
+		tests.test_fuzz_documents tests.test_fuzz_link_order \
+		tests.test_fuzz_occupants
 
 # Real daemons under overlapping faults; CI runs three seeds.
 soak: .venv/ready
