Write no answer with a line break, an odd status or an odd body

A malformed load made a ready answer a 504 at its deadline.

Cause: only the heads of requests were checked, and nothing of a reply.

Change: heads of answers are checked by the same function, statuses are final ones, and an answer that can't be written is a 502. A load that is malformed counts as none.

--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -5,12 +5,15 @@
 """
 
 import collections
+import logging
 import time
 
 from jackdawlanding.mesh import responses
 from jackdawlanding.platform import headers
 from jackdawlanding.wire import http
 
+logger = logging.getLogger("jackdaw.entry")
+
 SWEEP_SECONDS = 0.25
 # Requests that a connection may have queued before reading from it pauses.
 MAXIMUM_PIPELINED = 16
@@ -27,6 +30,7 @@
 BUFFERS_FULL = responses.make_refusal(
     "too many large requests are being served", seconds=BUFFERS_RETRY_SECONDS
 )
+UNWRITABLE = http.make_text_response(502, "the answer of another daemon is malformed")
 TOO_SLOW = http.make_text_response(408, "it came too slowly")
 
 
@@ -220,7 +224,13 @@
         self._end(lingers=True)
 
     def _write(self, response, *, keep_alive, is_head=False):
-        data = http.format_response(response, keep_alive=keep_alive, is_head=is_head)
+        options = {"keep_alive": keep_alive, "is_head": is_head}
+        try:
+            data = http.format_response(response, **options)
+        except Exception:
+            # It may come from a daemon of another version.
+            logger.exception("entry: An answer can't be written.")
+            data = http.format_response(UNWRITABLE, **options)
         self.stream.write(data)
 
     def _end(self, *, lingers):
--- a/src/jackdawlanding/mesh/links.py
+++ b/src/jackdawlanding/mesh/links.py
@@ -231,7 +231,7 @@
             reply = reply._replace(outcome=outcomes.Outcome.UNKNOWN, arrived=True)
         if not pending.call.is_safe and reply.arrived:
             self._acks.append(reply.number)
-        pending.respond(reply._replace(load=messages.Load(*reply.load)))
+        pending.respond(reply._replace(load=messages.make_load(reply.load)))
 
     def _handle_welcome(self, message):
         self._encoder.is_compressed = self._is_in_other_region(message.failure_domain)
--- a/src/jackdawlanding/mesh/messages.py
+++ b/src/jackdawlanding/mesh/messages.py
@@ -85,6 +85,17 @@
     seconds: float
 
 
+_LOAD_TYPES = [int, int, int, float]
+
+
+def make_load(values):
+    """Return the :class:`Load` of a reply, :data:`NO_LOAD` if it is malformed."""
+    is_list = isinstance(values, (list, tuple))
+    if is_list and [type(value) for value in values] == _LOAD_TYPES:
+        return Load(*values)
+    return NO_LOAD
+
+
 class Reply(typing.NamedTuple):
     """Ends a call.
 
--- a/src/jackdawlanding/wire/http.py
+++ b/src/jackdawlanding/wire/http.py
@@ -36,6 +36,9 @@
 # The host and the rest of a target in absolute form, without a user's name.
 _ABSOLUTE_FORM = re.compile(rb"https?://([^/?#@]+)([/?][^#]*)?", re.IGNORECASE)
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+# Bytes that end a line or a head, or that no head has.
+_HEAD_ENDS = b"\r\n\0"
+_FINAL_STATUSES = range(200, 600)
 NO_BODY_STATUSES = frozenset({204, 304})
 _PHRASES = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 
@@ -105,7 +108,7 @@
 
 
 class HeadError(ValueError):
-    """A request can't be written: a part of its head has a line break or a NUL."""
+    """A message can't be written: a part of its head would end it or isn't valid."""
 
 
 class Limits(typing.NamedTuple):
@@ -430,21 +433,33 @@
     lines += [name + b": " + value for name, value in headers]
     if has_body or body:
         lines.append(b"Content-Length: %d" % len(body))
+    return _join_head(lines, headers) + body
+
+
+def _join_head(lines, headers):
+    """Return the bytes of a head.
+
+    :raises HeadError: a line would end early, or the whole head.
+    """
     head = b"\r\n".join(lines)
-    breaks = len(lines) - 1
-    if head.count(b"\n") != breaks or head.count(b"\r") != breaks or b"\0" in head:
+    rest = head.translate(None, _HEAD_ENDS)
+    if len(head) - len(rest) != 2 * (len(lines) - 1):
         raise HeadError(
-            "a line break or NUL in the method, the target or a header; "
+            "a line break or NUL in the first line or a header; "
             f"the names of the headers are {[name for name, _ in headers]}"
         )
-    return head + b"\r\n\r\n" + body
+    return head + b"\r\n\r\n"
 
 
 def format_response(response, *, keep_alive, is_head=False):
     """Return the bytes of a response.
 
     :param is_head: whether it answers a HEAD request and is sent without a body.
+    :raises HeadError: its status is no final one, or a part of its head would end its
+        line, or the whole head.
     """
+    if type(response.status) is not int or response.status not in _FINAL_STATUSES:
+        raise HeadError(f"{response.status!r} is no status of a final response")
     phrase = _PHRASES.get(response.status, b"Unknown")
     lines = [b"HTTP/1.1 %d %s" % (response.status, phrase)]
     lines += [name + b": " + value for name, value in response.headers]
@@ -452,7 +467,7 @@
         lines.append(b"Content-Length: %d" % len(response.body))
     if not keep_alive:
         lines.append(b"Connection: close")
-    head = b"\r\n".join(lines) + b"\r\n\r\n"
+    head = _join_head(lines, response.headers)
     return head if is_head else head + response.body
 
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -271,6 +271,24 @@
         pairs = [(b"Connection", b"X-Own"), (b"X-Own", b"1"), (b"A", b"b")]
         self.assertEqual(http.remove_hop_by_hop_headers(pairs), [(b"A", b"b")])
 
+    def test_a_response_is_written_as_one_head_or_not_at_all(self):
+        """Text from another daemon ended a line of the head that a caller got."""
+        for status, headers in (
+            (200, ((b"A", b"b\r\nC: d"),)),
+            (200, ((b"A\r\nB", b"c"),)),
+            (200, ((b"A", b"b\n"),)),
+            (200, ((b"A", b"b\0"),)),
+            (99, ()),
+            (600, ()),
+            (-5, ()),
+            (2**63, ()),
+            (True, ()),
+        ):
+            with self.subTest(status=status, headers=headers):
+                response = http.Response(status=status, headers=headers)
+                with self.assertRaises(http.HeadError):
+                    http.format_response(response, keep_alive=True)
+
     def test_a_connection_option_removes_no_field_for_the_final_recipient(self):
         pairs = [
             (b"Connection", b"host, X-Kept, x-other"),
