Take over no revision from a peer that no store has

Found by malformed messages on a link: an update whose revision is 2^63 or infinity made that the revision up to which nothing is missing. The store was asked for the changes after it from then on, and had none; digests pass such a revision on to all daemons.

Cause: the fields of a peer's update were taken as they are; only its records' backend servers were checked.

Change: the revisions and the age of an update are checked before any of it is applied; a malformed one closes its link, as other malformed messages do. A record with such a revision is passed over, the others hold.

Measured: on the source before, the new test of gossip fails in five subtests (a revision of infinity in place of 10), and a daemon that got odd messages of all kinds did not know a drain after 2.5 s; both pass.

--- a/src/jackdawlanding/mesh/gossip.py
+++ b/src/jackdawlanding/mesh/gossip.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import math
 import random
 import time
 import zlib
@@ -398,6 +399,7 @@
             link.send(self._make_digest())
 
     def _apply(self, update):
+        _check_update(update)
         fleet_state = self._fleet_state
         now = time.monotonic()
         if update.age < directory.OUTAGE_SECONDS:
@@ -405,6 +407,11 @@
         if update.configuration:
             fleet_state.apply_configuration(update.configuration, source="peer")
         for name, revision, values in update.records:
+            if not validation.is_integer(revision):
+                _log_invalid_record(
+                    name, f"its revision is {validation.quote(revision)}"
+                )
+                continue
             fleet_state.put(
                 instance=name,
                 revision=revision,
@@ -432,18 +439,37 @@
         try:
             return validation.check_backend(directory.Backend(*values))
         except (TypeError, validation.InvalidValueError) as error:
-            logger.warning(
-                "gossip: A peer's record is treated as removed.",
-                extra={
-                    "fields": {
-                        "instance": validation.quote(name),
-                        "reason": validation.quote(error),
-                    }
-                },
-            )
+            _log_invalid_record(name, error)
             return None
 
 
+def _check_update(update):
+    """Check what a peer claims to know, before any of it is applied.
+
+    A revision that the store never reaches would end the reading of its changes.
+
+    :raises ValueError: a revision or the age is of another type, or out of range.
+    """
+    for name in ("since", "revision"):
+        if not validation.is_integer(getattr(update, name)):
+            value = validation.quote(getattr(update, name))
+            raise ValueError(f"a peer's update has the {name} {value}")
+    if type(update.age) not in (int, float) or not 0 <= update.age < math.inf:
+        raise ValueError(f"a peer's update has the age {validation.quote(update.age)}")
+
+
+def _log_invalid_record(name, reason):
+    logger.warning(
+        "gossip: A peer's record is not used.",
+        extra={
+            "fields": {
+                "instance": validation.quote(name),
+                "reason": validation.quote(reason),
+            }
+        },
+    )
+
+
 def _describe(backend):
     if backend is None:
         return "gone"
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -122,6 +122,27 @@
         known.set_services(frozenset({"desk", "nosuch"}))
         self.assertEqual(len(known.list_service("nosuch")), 1)
 
+    def test_a_revision_that_no_store_has_is_not_taken_over(self):
+        """The reading of the store's changes ended for good, on all daemons."""
+        known = self.network.get_state("b").directory
+        update = self.network.daemons["a"]._make_update(0, with_configuration=False)
+        update = update._replace(is_snapshot=False)
+        backend = make_backend(2)._replace(is_draining=True)
+        odd = (2**63, float("inf"), float("nan"), -1, "7", None)
+        for value in odd:
+            with self.subTest(value=value):
+                for name in ("revision", "since", "age"):
+                    if (name, value) != ("age", 2**63):
+                        with self.assertRaises(ValueError):
+                            self.network.deliver(
+                                "a", "b", update._replace(**{name: value})
+                            )
+                records = [("i-1", value, None), ("i-2", 11, backend)]
+                self.network.deliver("a", "b", update._replace(records=records))
+        self.assertEqual(known.complete_revision, 10)
+        self.assertEqual(sorted(known.list_instances()), ["i-1", "i-2", "i-3"])
+        self.assertTrue(known.get("i-2").is_draining)
+
     def test_a_daemon_started_after_a_removal_sends_a_snapshot(self):
         """Its history begins after the removal, so its records lack the removal."""
         self.remove("a", 2, 12)
--- a/tests/test_mesh_messages.py
+++ b/tests/test_mesh_messages.py
@@ -1,5 +1,6 @@
 """Malformed messages on a link: a daemon of another version may send any."""
 
+import contextlib
 import socket
 import unittest
 
@@ -28,7 +29,41 @@
 KINDS = {kind: number for number, kind in enumerate(messages.KINDS)}
 
 
-class MalformedCallTest(unittest.TestCase):
+# Sound messages of the kinds that tell something to a daemon.
+SOUND = (
+    messages.Reply(
+        number=1,
+        outcome=0,
+        arrived=0,
+        reason="x",
+        status=200,
+        headers=[],
+        body=b"",
+        retry_after=0.0,
+        load=[0, 0, 1, 0.1],
+    ),
+    messages.Cancel(number=1),
+    messages.Resume(numbers=[1]),
+    messages.Welcome(incarnation="a", failure_domain="a1"),
+    messages.Ack(numbers=[1]),
+    messages.Ping(number=1),
+    messages.Pong(number=1),
+    messages.Digest(revision=1, age=0.1, version=1, suspects=0),
+    messages.StateUpdate(
+        tree=-1,
+        is_snapshot=False,
+        since=0,
+        revision=5,
+        age=0.1,
+        records=[["i-9", 3, ["i-9", "bank", "127.0.1.1", 1, "a1", 1, False, 0.0, 1]]],
+        configuration=b"",
+        suspects=[[b"f", "o", 1, 3.0]],
+    ),
+    messages.Leaving(host="127.0.1.9"),
+)
+
+
+class MalformedMessageTest(unittest.TestCase):
     def make(self):
         return meshes.Mesh(
             services=[("bank", "a1")],
@@ -96,6 +131,27 @@
             meshes.wait_until(lambda: member.daemon.executor.in_flight == 0)
             self.assertEqual(member.call("/look/1")[0], 200)
 
+    def test_malformed_messages_of_any_kind_hold_up_nothing(self):
+        with self.make() as mesh:
+            [member] = mesh.members
+            number = 0
+            for message in SOUND:
+                for field in message._fields:
+                    for value in ODD_VALUES:
+                        number += 1
+                        sock = self.connect(member, number)
+                        odd = message._replace(**{field: value})
+                        sock.sendall(msgpack.packb((KINDS[type(message)], *odd)))
+                        sock.settimeout(0.01)
+                        with contextlib.suppress(OSError):
+                            sock.recv(4096)
+                        sock.close()
+                self.assertEqual(member.call("/look/1")[0], 200, type(message))
+            entry = member.backend_server.make_entry(host=member.host, state="draining")
+            mesh.store.put("servers/i-0", entry)
+            known = member.daemon.fleet_state.directory
+            meshes.wait_until(lambda: known.get("i-0").is_draining, seconds=2.5)
+
 
 if __name__ == "__main__":
     unittest.main()
