--- a/review/7/case.py
+++ b/review/7/case.py
@@ -36,24 +36,6 @@
     return True
 
 
-async def send_orders(mesh, caller, lost):
-    """Send orders on a kept connection; note those that are closed unanswered."""
-    for _ in range(ORDERS):
-        answer = await caller.send(
-            method="PUT",
-            host=ORDER_HOST,
-            path="/orders/",
-            body=b"order",
-            deadline=ORDER_MILLIS,
-        )
-        if not answer.was_sent:
-            return
-        if answer.status is None:
-            if caller.was_kept:
-                lost.append(answer.request_id)
-            return
-
-
 async def play(mesh, is_disturbed):
     """Send orders while one status check is answered without end."""
     daemon, faulty, *sound = mesh.daemons[0], *mesh.servers
@@ -61,12 +43,14 @@
         server.work_seconds = lambda path: ORDER_SECONDS
     peaks, lost = [], []
     watcher = asyncio.ensure_future(deployment.keep_to_memory(mesh, daemon, peaks))
-    callers = [
-        deployment.Caller(deployment=mesh, daemon=daemon) for _ in range(CALLERS)
-    ]
-    orders = [
-        asyncio.ensure_future(send_orders(mesh, caller, lost)) for caller in callers
-    ]
+    orders = deployment.start_orders(
+        mesh,
+        callers=CALLERS,
+        host=ORDER_HOST,
+        count=ORDERS,
+        deadline=ORDER_MILLIS,
+        lost=lost,
+    )
     await asyncio.sleep(1.0)
     if is_disturbed:
         faulty.handle = answer_without_end
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -96,10 +96,19 @@
     return lines[0], {name.strip().lower(): value.strip() for name, value in pairs}
 
 
-async def read_body(reader, headers):
-    """Return the body of a message with a length, or in chunks."""
+async def read_body(reader, headers, *, pause=0.0):
+    """Return the body of a message with a length, or in chunks.
+
+    :param pause: seconds before each half of a window of a body with a length.
+    """
     if headers.get("transfer-encoding", "").lower() != "chunked":
-        return await reader.readexactly(int(headers.get("content-length", 0)))
+        remaining, pieces = int(headers.get("content-length", 0)), []
+        while remaining:
+            if pause:
+                await asyncio.sleep(pause)
+            pieces.append(await reader.readexactly(min(remaining, WINDOW_BYTES // 2)))
+            remaining -= len(pieces[-1])
+        return b"".join(pieces)
     body = b""
     while size := int(await reader.readline(), 16):
         body += await reader.readexactly(size)
@@ -228,7 +237,9 @@
         self.late_copies = 0
         self.work_seconds = lambda path: 0.05
         self.handle = None
-        # Seconds between reads of ``WINDOW_BYTES`` of a body.
+        # What the answers have as their body, ``b""`` for a short text.
+        self.body = b""
+        # Seconds before it reads each half of a window of a body.
         self.read_pause = 0.0
         self._writers = set()
         self._copies = {}
@@ -291,7 +302,7 @@
         try:
             while True:
                 line, headers = await read_head(reader)
-                body = await self._read_body(reader, headers)
+                body = await read_body(reader, headers, pause=self.read_pause)
                 await self._answer(line, headers, body, reader, writer)
                 await writer.drain()
         except (OSError, EOFError, ValueError):
@@ -300,17 +311,6 @@
             self._writers.discard(writer)
             writer.close()
 
-    async def _read_body(self, reader, headers):
-        if "content-length" not in headers:
-            return await read_body(reader, headers)
-        remaining, pieces = int(headers["content-length"]), []
-        while remaining:
-            if self.read_pause:
-                await asyncio.sleep(self.read_pause)
-            pieces.append(await reader.readexactly(min(remaining, WINDOW_BYTES // 2)))
-            remaining -= len(pieces[-1])
-        return b"".join(pieces)
-
     async def _answer(self, line, headers, body, reader, writer):
         method, path, _ = line.split(" ")
         if path == "/healthz":
@@ -340,7 +340,7 @@
             return
         await asyncio.sleep(self.work_seconds(path))
         head[SIGNATURE] = f"{self.instance}.{request_id}"
-        body = b"done " + request_id.encode()
+        body = self.body or b"done " + request_id.encode()
         self._send(writer, format_message("HTTP/1.1 200 OK", head, body))
 
     def _send(self, writer, data):
@@ -422,11 +422,15 @@
 
 
 class Caller:
-    """A client with one kept connection to the daemon of its machine."""
+    """A client with one kept connection to the daemon of its machine.
 
-    def __init__(self, *, deployment, daemon):
+    :param read_pause: seconds before it reads each half of a window of a body.
+    """
+
+    def __init__(self, *, deployment, daemon, read_pause=0.0):
         self.deployment = deployment
         self.daemon = daemon
+        self._read_pause = read_pause
         self._connection = None
         # Whether the connection of the last request had served one before.
         self.was_kept = False
@@ -440,9 +444,7 @@
         try:
             async with asyncio.timeout(deadline / 1000 + 2):
                 if self._connection is None:
-                    self._connection = await asyncio.open_connection(
-                        self.daemon.host, deployment.ports["outbound"]
-                    )
+                    self._connection = await self._connect()
                 reader, writer = self._connection
                 head = {
                     "Host": host,
@@ -456,7 +458,7 @@
                 writer.write(format_message(first_line, head, body))
                 was_sent = True
                 line, headers = await read_head(reader)
-                data = await read_body(reader, headers)
+                data = await read_body(reader, headers, pause=self._read_pause)
                 status = int(line.split(" ")[1])
         except (OSError, EOFError, TimeoutError) as error:
             deployment.record.write(f"caller of {request_id}: {error!r}")
@@ -471,6 +473,15 @@
             was_sent=was_sent,
         )
 
+    async def _connect(self):
+        sock = socket.socket()
+        sock.setblocking(False)
+        if self._read_pause:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+        address = (self.daemon.host, self.deployment.ports["outbound"])
+        await asyncio.get_running_loop().sock_connect(sock, address)
+        return await asyncio.open_connection(sock=sock, limit=WINDOW_BYTES)
+
     def close(self):
         """Close the connection."""
         if self._connection is not None:
@@ -640,6 +651,37 @@
         await asyncio.sleep(WATCH_SECONDS)
 
 
+def start_orders(mesh, *, callers, host, count, deadline, lost):
+    """Let callers of the first machine send orders; return their tasks.
+
+    :param lost: gets the ids of orders whose connection closes without an answer.
+    """
+    return [
+        asyncio.ensure_future(
+            send_orders(
+                Caller(deployment=mesh, daemon=mesh.daemons[0]),
+                host=host,
+                count=count,
+                deadline=deadline,
+                lost=lost,
+            )
+        )
+        for _ in range(callers)
+    ]
+
+
+async def send_orders(caller, *, host, count, deadline, lost):
+    """Send orders on a kept connection; note those that are closed unanswered."""
+    for _ in range(count):
+        answer = await caller.send(
+            method="PUT", host=host, path="/orders/", body=b"order", deadline=deadline
+        )
+        if answer.status is None:
+            if answer.was_sent and caller.was_kept:
+                lost.append(answer.request_id)
+            return
+
+
 def list_lost(lost, servers):
     """Return a line for each lost request if they are more than the rule allows.
 
