--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -33,6 +33,8 @@
 PORT_COUNT = 16
 # The pages: links have small windows.
 WINDOW_BYTES = 65536
+# The longest that a case may play, with the time for its end.
+CASE_SECONDS = 110
 # How often the platform looks at the memory of a process.
 WATCH_SECONDS = 0.05
 MEGABYTE = 1_000_000
@@ -219,7 +221,8 @@
     """An upstream: registers itself, runs requests and answers them.
 
     A start is a new incarnation with a new id. ``runs`` holds pairs of a request's id
-    and the id of the start that ran it. ``work_seconds(path)`` is how long one lasts.
+    and the id of the start that ran it, ``bodies`` the body that came with each id.
+    ``work_seconds(path)`` is how long one lasts.
     ``handle(request_id, path, writer)``, if set, may answer a request that runs; it
     returns whether it did. Of the next ``late_copies`` answers a second copy is sent,
     where the next answer on their connection is expected.
@@ -234,6 +237,7 @@
         self.slots = slots
         self.instance = ""
         self.runs = []
+        self.bodies = {}
         self.late_copies = 0
         self.work_seconds = lambda path: 0.05
         self.handle = None
@@ -335,7 +339,10 @@
             self._send(writer, data)
             return
         self.runs.append((request_id, self.instance))
-        self.deployment.record.write(f"server {self.instance} runs {request_id}")
+        self.bodies[request_id] = body
+        self.deployment.record.write(
+            f"server {self.instance} runs {request_id} with {len(body)} bytes"
+        )
         if self.handle is not None and await self.handle(request_id, path, writer):
             return
         await asyncio.sleep(self.work_seconds(path))
@@ -435,11 +442,14 @@
         # Whether the connection of the last request had served one before.
         self.was_kept = False
 
-    async def send(self, *, method, host, path, body=b"", deadline=5000):
-        """Send a request; return its :class:`Answer`."""
+    async def send(self, *, method, host, path, body=b"", deadline=5000, headers=()):
+        """Send a request; return its :class:`Answer`.
+
+        :param headers: pairs that are sent beside the usual headers.
+        """
         deployment = self.deployment
         request_id = f"{deployment.random.getrandbits(64):016x}"
-        status, headers, data, was_sent = None, {}, b"", False
+        status, answer_headers, data, was_sent = None, {}, b"", False
         self.was_kept = self._connection is not None
         try:
             async with asyncio.timeout(deadline / 1000 + 2):
@@ -450,6 +460,7 @@
                     "Host": host,
                     "X-Request-Id": request_id,
                     "X-Deadline-Ms": str(deadline),
+                    **dict(headers),
                 }
                 deployment.record.write(
                     f"caller sends {request_id} ({method} {path}) to {self.daemon.host}"
@@ -457,18 +468,18 @@
                 first_line = f"{method} {path} HTTP/1.1"
                 writer.write(format_message(first_line, head, body))
                 was_sent = True
-                line, headers = await read_head(reader)
-                data = await read_body(reader, headers, pause=self._read_pause)
+                line, answer_headers = await read_head(reader)
+                data = await read_body(reader, answer_headers, pause=self._read_pause)
                 status = int(line.split(" ")[1])
         except (OSError, EOFError, TimeoutError) as error:
             deployment.record.write(f"caller of {request_id}: {error!r}")
-        if status is None or headers.get("connection", "").lower() == "close":
+        if status is None or answer_headers.get("connection", "").lower() == "close":
             self.close()
         deployment.record.write(f"caller of {request_id} gets {status}")
         return Answer(
             request_id=request_id,
             status=status,
-            headers=headers,
+            headers=answer_headers,
             body=data,
             was_sent=was_sent,
         )
@@ -723,15 +734,21 @@
     record = Record(pathlib.Path(folder) / "record.txt")
     deployment = None
 
+    failures = []
+
     async def play_all():
-        async with asyncio.timeout(110):
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: failures.append(context))
+        async with asyncio.timeout(CASE_SECONDS):
             await deployment.start()
             return await play(deployment, is_disturbed)
 
     try:
         deployment = Deployment(record=record, machines=machines, routes=routes)
         broken = asyncio.run(play_all())
-    except (CannotRunError, OSError, TimeoutError) as error:
+        if failures:
+            raise CannotRunError(f"a stand-in failed: {failures[0]}")
+    except Exception as error:
         record.write(f"the case can't run: {error!r}")
         record.close()
         print(f"the case can't run: {error!r}")
