Show that no daemon gets ready again where a key ends a page changed

Looked for what a daemon needs to start that its peers can't give it. The listing goes on after a key as the daemon rewrote it: a key with half of a UTF-16 pair at the end of a page makes it ask for the same page for ever.

--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -139,6 +139,7 @@
 
     def __init__(self):
         self.revision = 10
+        self.reads = 0
         self._items = {}
         self._events = []
         self._changed = asyncio.Event()
@@ -173,6 +174,7 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 line, _ = await read_head(reader)
+                self.reads += 1
                 path, _, query = line.split(" ")[1].partition("?")
                 values = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
                 if path.endswith("kv-range"):
