--- a/review/9/case.py
+++ b/review/9/case.py
@@ -12,9 +12,9 @@
 
 ORDER_HOST = "payouts.example"
 STATUS_HOST = "status.example"
-# The client's deadline for a status check, and the longest that the operator lets
-# one wait.
-STATUS_MILLIS = 5000
+# The client's deadline for a status check, that of the pages' example, and the longest
+# that the operator lets one wait.
+STATUS_MILLIS = 6000
 ORDER_MILLIS = 2500
 CALLERS = 12
 # How long an order runs.
