Send no request twice on one connection to a backend server

A server that started again refused it with 421, ran it as it came again for the new id, and then the 421 came a second time.

Cause: the second sending took the connection of the 421, since the pool takes the one released last, and answers are matched by the request id alone. The late copy said "not run" of a request that was running.

Change: a connection remembers the hashes of the ids it has carried and never carries one again; it is closed after 256 requests, which bounds them. This covers whatever is sent again, for whatever reason, instead of the 421 alone.

--- a/src/jackdawlanding/mesh/backends.py
+++ b/src/jackdawlanding/mesh/backends.py
@@ -1,7 +1,9 @@
 """Persistent HTTP connections to the local backend server.
 
 A request is sent at most once here, and its result tells whether any byte of it
-may have been sent.
+may have been sent. Responses carry the ids of their requests and may come a second
+time, late. A request that is sent again, such as for another instance, therefore
+never takes a connection that has carried its id.
 """
 
 import logging
@@ -22,6 +24,8 @@
 # new one: the backend server may be closing an idle one.
 RECENT_SECONDS = 0.5
 CONNECT_SECONDS = 1.0
+# A connection remembers the ids of its requests, and is closed after this many.
+MAXIMUM_REQUESTS_PER_CONNECTION = 256
 # Responses with the id of another request that are dropped while one is awaited.
 MAXIMUM_STRAY_RESPONSES = 16
 # The unfinished bodies of all responses. A body counts once it is large.
@@ -46,6 +50,8 @@
 
     def __init__(self, *, pool, stream, connect_timer):
         self.pool = pool
+        # Hashes of the ids that it has carried: the size of an id is its caller's.
+        self._id_hashes = set()
         self.stream = stream
         self._connect_timer = connect_timer
         self.idle_since = 0.0
@@ -61,11 +67,16 @@
 
     def start(self, attempt):
         self.attempt = attempt
+        self._id_hashes.add(hash(attempt.request_id))
         self._stray_count = 0
         if attempt.is_head:
             self.reader = http.ResponseReader(is_head=True)
         self.stream.write(attempt.data)
 
+    def has_carried(self, request_id):
+        """Return whether a late response may carry an id."""
+        return hash(request_id) in self._id_hashes
+
     def close(self):
         self._connect_timer.cancel()
         self.stream.close()
@@ -109,7 +120,12 @@
 
     def _finish(self, response, must_close):
         attempt, self.attempt = self.attempt, None
-        must_close = must_close or attempt.is_head or self.stream.unsent
+        must_close = (
+            must_close
+            or attempt.is_head
+            or self.stream.unsent
+            or len(self._id_hashes) >= MAXIMUM_REQUESTS_PER_CONNECTION
+        )
         if self.reader.is_reusable and not must_close:
             self.idle_seconds = _parse_idle_seconds(response)
             self.pool.release(self)
@@ -187,7 +203,7 @@
 
         :param needs_recent: whether an idle connection must have been used recently.
         """
-        connection = self._pop_idle(needs_recent) or self._connect()
+        connection = self._pop_idle(attempt.request_id, needs_recent) or self._connect()
         attempt.connection = connection
         try:
             connection.start(attempt)
@@ -227,7 +243,8 @@
         ]:
             self.drop(connection)
 
-    def _pop_idle(self, needs_recent):
+    def _pop_idle(self, request_id, needs_recent):
+        """Return an idle connection that may carry a request, or ``None``."""
         now = time.monotonic()
         while self._idle:
             connection = self._idle[-1]
@@ -235,8 +252,10 @@
             if needs_recent and idle_seconds > RECENT_SECONDS:
                 return None
             self._idle.pop()
-            if idle_seconds <= connection.idle_seconds and not sockets.has_unread(
-                connection.stream.sock
+            if (
+                idle_seconds <= connection.idle_seconds
+                and not connection.has_carried(request_id)
+                and not sockets.has_unread(connection.stream.sock)
             ):
                 return connection
             self.drop(connection)
--- a/tests/backendservers.py
+++ b/tests/backendservers.py
@@ -36,7 +36,8 @@
     false. ``notice`` holds headers of all answers, ``arrivals`` when each request
     arrived, in ``time.monotonic()`` seconds, and ``ids`` all ids of each request.
     ``call_out`` makes a call for a request id and returns whether it succeeded; the
-    behaviour ``"nested"`` needs it.
+    behaviour ``"nested"`` needs it. With ``copies_refusals``, each refusal comes once
+    more on its connection, after the next request.
     """
 
     def __init__(self, *, service, instance, slots=4, host="127.0.0.1"):
@@ -58,6 +59,7 @@
         self.refused = []
         self.arrivals = []
         self.call_out = None
+        self.copies_refusals = False
         self.connections = []
         self.lock = threading.Lock()
         self._serve()
@@ -71,6 +73,7 @@
 
             def setup(self):
                 super().setup()
+                self.refusal = None
                 backend_server.connections.append(self.connection)
 
             def answer(self):
@@ -126,6 +129,7 @@
         length = int(handler.headers.get("Content-Length") or 0)
         body = handler.rfile.read(length)
         request_id = handler.headers.get("X-Request-Id")
+        self._send_copy(handler)
         with self.lock:
             self.arrivals.append(time.monotonic())
             self.ids.append(handler.headers.get_all("X-Request-Id"))
@@ -136,15 +140,29 @@
             if isinstance(behaviour, list):
                 behaviour = behaviour.pop(0) if behaviour else ""
         if handler.headers.get("X-Expected-Instance") not in (None, self.instance):
-            servers.send(handler, 421, b"", {"X-Request-Id": request_id})
+            self._refuse(handler, 421, {"X-Request-Id": request_id})
             return
         if behaviour == "shed":
             self.refused.append(request_id)
             headers = {"X-Request-Id": request_id, "X-Not-Executed": "1"}
-            servers.send(handler, 503, b"", {**headers, **self.notice})
+            self._refuse(handler, 503, {**headers, **self.notice})
             return
         self._run(handler, request_id, body, behaviour)
 
+    def _refuse(self, handler, status, headers):
+        servers.send(handler, status, b"", headers)
+        handler.refusal = (status, headers) if self.copies_refusals else None
+
+    def _send_copy(self, handler):
+        """Send the last refusal of a connection once more, if that is due."""
+        if handler.refusal is None:
+            return
+        status, headers = handler.refusal
+        handler.refusal = None
+        servers.send(handler, status, b"", headers)
+        handler.wfile.flush()
+        time.sleep(0.05)
+
     def _run(self, handler, request_id, body, behaviour):
         with self.lock:
             self.runs.append(request_id)
--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,119 @@
+"""Connections to a backend server whose answers come a second time, late."""
+
+import collections
+import contextlib
+import socket
+import threading
+import unittest
+
+from jackdawlanding.mesh import backends, eventloop
+from jackdawlanding.wire import http
+
+REQUESTS = 1000
+
+
+class RepeatingServer:
+    """Answers 503 to the first request with an id and 200 to those after it.
+
+    Before an answer it sends all earlier ones of the connection again.
+    """
+
+    def __init__(self):
+        self.connections = 0
+        self.most_requests = 0
+        self._counts = collections.Counter()
+        self._sock = socket.create_server(("127.0.0.1", 0))
+        self.address = self._sock.getsockname()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def stop(self):
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+        self._sock.close()
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock):
+        reader = http.RequestReader(
+            limits=http.Limits(head_bytes=4096, body_bytes=4096)
+        )
+        sent = collections.deque(maxlen=backends.MAXIMUM_STRAY_RESPONSES - 1)
+        served = 0
+        with sock, contextlib.suppress(OSError):
+            while data := sock.recv(65536):
+                reader.feed(data)
+                ready, reader.ready = reader.ready, []
+                for request in ready:
+                    served += 1
+                    self.most_requests = max(self.most_requests, served)
+                    answer = self._make_answer(request.get_header(b"x-request-id"))
+                    sock.sendall(b"".join(sent) + answer)
+                    sent.append(answer)
+
+    def _make_answer(self, request_id):
+        self._counts[request_id] += 1
+        status = 503 if self._counts[request_id] == 1 else 200
+        fields = ((b"X-Request-Id", request_id),) if request_id else ()
+        response = http.Response(status=status, headers=fields)
+        return http.format_response(response, keep_alive=True)
+
+
+class BackendPoolTest(unittest.TestCase):
+    def setUp(self):
+        self.server = RepeatingServer()
+        self.addCleanup(self.server.stop)
+        self.loop = eventloop.EventLoop()
+        self.addCleanup(self.loop.close)
+        self.pool = backends.BackendPool(loop=self.loop, address=self.server.address)
+
+    def send(self, request_id):
+        """Return the status of the answer to a request."""
+        results = []
+        attempt = backends.Attempt(
+            data=http.format_request(
+                method="PUT",
+                target="/",
+                headers=[(b"X-Request-Id", request_id)] if request_id else [],
+                body=b"",
+                has_body=True,
+            ),
+            is_head=False,
+            id_header=b"x-request-id",
+            request_id=request_id,
+            on_done=results.append,
+        )
+        self.pool.send(attempt, needs_recent=True)
+        for _ in range(100):
+            if results:
+                return results[0].response.status
+            self.loop.run_once()
+        raise AssertionError("no result after 100 iterations")
+
+    def test_a_late_copy_answers_no_second_sending_of_its_request(self):
+        """A request was taken for not run by the refusal of its first sending."""
+        for others in (0, 1, 5):
+            with self.subTest(others=others):
+                request_id = b"id-%d" % others
+                self.assertEqual(self.send(request_id), 503)
+                for number in range(others):
+                    self.assertEqual(self.send(b"%s.%d" % (request_id, number)), 503)
+                self.assertEqual(self.send(request_id), 200)
+
+    def test_a_late_copy_of_a_health_check_answers_no_later_one(self):
+        self.assertEqual(self.send(b""), 503)
+        self.assertEqual(self.send(b""), 200)
+
+    def test_a_connection_is_kept_for_other_requests_but_not_for_good(self):
+        for number in range(REQUESTS):
+            self.assertEqual(self.send(b"id-%d" % number), 503)
+        self.assertLessEqual(self.server.connections, REQUESTS // 100)
+        self.assertLessEqual(
+            self.server.most_requests, backends.MAXIMUM_REQUESTS_PER_CONNECTION
+        )
