Collect a body in one buffer, not in an object for each piece

What callers saw: one answer without end, in chunks of two bytes, took a daemon over 300 MB within 2 to 3 s.

Cause: the reader kept each piece of a body as an object until the message was complete. Its limits count the bytes of the body, not what the pieces take: 2 MB of body in such chunks held 45.2 MB.

Evidence: BodyMemoryTest fails before the fix in all five framings of requests and answers, with a peak of 8.6 MB for 0.4 MB of body. Other forms of bytes without end were fed to the reader before the change (head, trailers, interim and foreign answers, line breaks): all stayed flat. Two of them had no test yet.

Change: one growing buffer for each body. Callers, backend servers, the store and both daemons share the reader.

--- a/src/jackdawlanding/wire/http.py
+++ b/src/jackdawlanding/wire/http.py
@@ -156,7 +156,8 @@
         self._has_progressed = True
         self._body_size += len(data)
         self._check_body_size(self._body_size)
-        self._chunks.append(data)
+        # An object for each piece can take many times the piece's bytes.
+        self._body += data
 
     def get_partial_header(self, name):
         """Return a header of the current message as bytes, ``b""`` if not received.
@@ -191,7 +192,7 @@
     def _reset(self):
         self._headers = []
         self._index = {}
-        self._chunks = []
+        self._body = bytearray()
         self._head_size = 0
         self._body_size = 0
         self._stalled_size = 0
@@ -255,7 +256,7 @@
             method=self._parser.get_method().decode("latin-1"),
             target=self._url.decode("latin-1"),
             headers=tuple(self._headers),
-            body=b"".join(self._chunks),
+            body=bytes(self._body),
             has_body=b"content-length" in index or b"transfer-encoding" in index,
             keep_alive=self._parser.should_keep_alive(),
             index=index,
@@ -383,7 +384,7 @@
             Response(
                 status=self._parser.get_status_code(),
                 headers=tuple(self._headers),
-                body=b"".join(self._chunks),
+                body=bytes(self._body),
                 index=self._index,
             )
         )
--- a/tests/backendservers.py
+++ b/tests/backendservers.py
@@ -321,11 +321,11 @@
             handler.wfile.write(piece)
 
 
-def _send_interim_without_end(handler):
+def _send_without_end(handler, piece):
     handler.close_connection = True
     with contextlib.suppress(OSError):
         while True:
-            handler.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n" * 100)
+            handler.wfile.write(piece)
 
 
 _EARLY_BEHAVIOURS = {
@@ -341,7 +341,12 @@
         "Transfer-Encoding: chunked\r\n\r\n",
         b"8000\r\n" + b"a" * 32768 + b"\r\n",
     ),
-    "endless-interim": _send_interim_without_end,
+    "endless-interim": lambda handler: _send_without_end(
+        handler, b"HTTP/1.1 100 Continue\r\n\r\n" * 100
+    ),
+    "endless-others": lambda handler: _send_without_end(
+        handler, b"HTTP/1.1 204 No\r\nX-Request-Id: other\r\n\r\n" * 100
+    ),
 }
 _BEHAVIOURS = {
     "error": _answer_error,
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -116,6 +116,35 @@
         self.assertEqual([request.body for request in reader.ready], [b"abc", b""])
 
 
+class BodyMemoryTest(unittest.TestCase):
+    def test_a_body_in_small_pieces_takes_little_more_than_its_bytes(self):
+        """One answer in chunks of two bytes took a daemon over its memory."""
+        request, response = b"POST / HTTP/1.1\r\n", b"HTTP/1.1 200 OK\r\n"
+        length = b"Content-Length: 2000000\r\n\r\n"
+        chunked = b"Transfer-Encoding: chunked\r\n\r\n"
+        chunks = [b"2\r\nno\r\n" * 2000] * 100
+        pieces = [b"no"] * 200_000
+        for make, head, data in (
+            (http.RequestReader, request + length, pieces),
+            (http.RequestReader, request + chunked, chunks),
+            (http.ResponseReader, response + length, pieces),
+            (http.ResponseReader, response + chunked, chunks),
+            (http.ResponseReader, response + b"\r\n", pieces),
+        ):
+            with self.subTest(make=make, head=head):
+                reader = make(limits=http.RESPONSE_LIMITS)
+                tracemalloc.start()
+                try:
+                    reader.feed(head)
+                    for piece in data:
+                        reader.feed(piece)
+                    peak_bytes = tracemalloc.get_traced_memory()[1]
+                finally:
+                    tracemalloc.stop()
+                self.assertEqual(reader.body_bytes, 400_000)
+                self.assertLess(peak_bytes, 2 * reader.body_bytes)
+
+
 class FormatRequestTest(unittest.TestCase):
     def test_a_head_holds_no_more_lines_than_it_was_made_of(self):
         """A line feed in a header ended the head, and the body was not sent."""
@@ -232,6 +261,19 @@
             with self.subTest(name=name):
                 self.check_end(start, piece, maximum_bytes=maximum_bytes)
 
+    def test_line_breaks_without_end_before_a_response_take_no_memory(self):
+        reader = http.ResponseReader()
+        tracemalloc.start()
+        try:
+            for _ in range(100):
+                reader.feed(b"\r\n" * 32768)
+            peak_bytes = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        self.assertLess(peak_bytes, 2 * http.RESPONSE_LIMITS.head_bytes)
+        reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        self.assertEqual(reader.ready[0].status, 200)
+
     def test_a_response_of_any_allowed_size_is_read(self):
         """The limits on unfinished parts must not refuse a large, proper response."""
         body = b"x" * 300000
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -76,7 +76,7 @@
     def test_an_answer_without_end_is_a_502(self):
         """It filled the daemon's memory until the caller's deadline."""
         before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-        for kind in ("value", "headers", "body", "chunks", "interim"):
+        for kind in ("value", "headers", "body", "chunks", "interim", "others"):
             target = f"/near/endless-{kind}"
             self.backend_servers["near"].behaviours[target] = f"endless-{kind}"
             with self.subTest(kind=kind):
