Serve a request that offers another protocol whole

CONNECT was served and refused. A 101 of a backend server left its caller without an answer until the deadline.

Cause: httptools completes such a message at its head and raises HttpParserUpgrade. The reader took the request as it was, and made a refusal of the exception, which it didn't catch in answers.

Evidence: before the fix the new tests of test_http, test_mesh_answers and test_fuzz_framing fail: "upgrades are not offered", b"ran " != b"ran abc", 504 != 502.

Change: the head is parsed again without Upgrade, and the body as it is framed. CONNECT is a 501. A 101 is an invalid answer.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 		tests.test_fuzz_admission tests.test_fuzz_publications \
 		tests.test_fuzz_slots tests.test_fuzz_gossip tests.test_fuzz_notices \
 		tests.test_fuzz_documents tests.test_fuzz_link_order \
-		tests.test_fuzz_occupants
+		tests.test_fuzz_occupants tests.test_fuzz_framing
 
 # Real daemons under overlapping faults; CI runs three seeds.
 soak: .venv/ready
--- a/src/jackdawlanding/wire/http.py
+++ b/src/jackdawlanding/wire/http.py
@@ -223,11 +223,11 @@
         :raises RequestError: a request is malformed or over a limit.
         """
         self.has_begun = True
+        rest = memoryview(data)
         try:
-            self._feed(data)
-        except httptools.HttpParserUpgrade:
-            raise RequestError(status=400, detail="upgrades are not offered") from None
-        except httptools.HttpParserError as error:
+            while rest is not None:
+                rest = self._feed_to_offer(rest)
+        except (httptools.HttpParserError, HeadError) as error:
             if self._error:
                 raise self._error from None
             detail = f"the request is malformed: {error}"
@@ -235,20 +235,52 @@
         if not self._url and self._head_size == 0 and not self._in_message:
             self.has_begun = False
 
+    def _feed_to_offer(self, data):
+        """Parse up to an offer of another protocol; return the rest, if there is one.
+
+        RFC 9110, section 7.8: a server may ignore an offer. The parser stops at the
+        head of such a request, which is parsed again without the offer.
+        """
+        try:
+            self._feed(data)
+        except httptools.HttpParserUpgrade as offer:
+            self._restart_without_offer()
+            return data[offer.args[0] :]
+        return None
+
+    def _restart_without_offer(self):
+        method = self._parser.get_method()
+        version = self._parser.get_http_version().encode()
+        lines = [b"%s %s HTTP/%s" % (method, self._url, version)]
+        lines += [
+            name + b": " + value
+            for name, value in self._headers
+            if name.lower() != b"upgrade"
+        ]
+        self._reset()
+        self.has_begun = True
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(_join_head(lines, self._headers))
+
     def on_url(self, url):
         """Append a part of the target; called by httptools."""
         self._count_head_bytes(len(url))
         self._url += url
 
     def on_headers_complete(self):
-        """Check the declared length of the body; called by httptools."""
+        """Check the method and the declared length; called by httptools."""
         self.has_head = self._has_progressed = True
+        if self._parser.get_method() == b"CONNECT":
+            self._fail(501, "tunnels are not offered")
         self._make_index()
         if b"content-length" in self._index:
             self._check_body_size(int(self._index[b"content-length"]))
 
     def on_message_complete(self):
         """Append the complete request to ``ready``; called by httptools."""
+        if self._parser.should_upgrade():
+            # The body is yet to come.
+            return
         if b"://" in self._url and not self._url.startswith(b"/"):
             self._convert_absolute_form()
         index = self._index
@@ -330,6 +362,9 @@
         """
         try:
             self._feed(data)
+        except httptools.HttpParserUpgrade:
+            self._keeps_alive = False
+            raise ResponseError("the protocol was switched unasked") from None
         except httptools.HttpParserError as error:
             self._keeps_alive = False
             raise ResponseError(str(error.__context__ or error)) from None
--- a/tests/backendservers.py
+++ b/tests/backendservers.py
@@ -264,6 +264,14 @@
     handler.close_connection = True
 
 
+def _switch_protocols(backend_server, handler, request_id, body):
+    head = b"HTTP/1.1 101 Switching Protocols\r\nX-Request-Id: %s\r\n"
+    handler.wfile.write(head % request_id.encode())
+    handler.wfile.write(b"Upgrade: h2c\r\nConnection: Upgrade\r\n\r\n")
+    handler.wfile.flush()
+    time.sleep(5)
+
+
 def _answer_nothing(backend_server, handler, request_id, body):
     handler.close_connection = True
 
@@ -362,6 +370,7 @@
     "short": _answer_short,
     "garbage": _answer_garbage,
     "nothing": _answer_nothing,
+    "switch": _switch_protocols,
     "reset": _answer_reset,
     "late": _answer_late,
     "crash": _crash,
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -86,6 +86,35 @@
                 reader.feed(b"a" * 100)
         self.assertEqual(caught.exception.status, 431)
 
+    def test_an_offer_of_another_protocol_is_ignored(self):
+        """A request that offered HTTP/2 was taken without its body."""
+        for offer in (
+            b"Upgrade: h2c\r\nConnection: Upgrade, HTTP2-Settings\r\nHTTP2-Settings: A",
+            b"Connection: upgrade\r\nExpect: 100-continue\r\nUpgrade: websocket",
+            b"Connection: Upgrade, close\r\nUpgrade: TLS/1.0, x",
+        ):
+            for framing, sent in (
+                (b"Content-Length: 3\r\n\r\n", b"abc"),
+                (
+                    b"Transfer-Encoding: chunked\r\n\r\n",
+                    b"1\r\na\r\n2\r\nbc\r\n0\r\n\r\n",
+                ),
+            ):
+                data = b"POST /a HTTP/1.1\r\n" + offer + b"\r\n" + framing + sent
+                with self.subTest(data=data):
+                    reader = http.RequestReader(limits=Limits())
+                    reader.feed(data)
+                    [request] = reader.ready
+                    self.assertEqual((request.target, request.body), ("/a", b"abc"))
+                    self.assertEqual(request.keep_alive, b"close" not in data)
+
+    def test_a_tunnel_is_refused_by_one_answer(self):
+        """It was served and refused, by two answers."""
+        reader = http.RequestReader(limits=Limits())
+        with self.assertRaises(http.RequestError) as caught:
+            reader.feed(b"CONNECT a:80 HTTP/1.1\r\nHost: a:80\r\n\r\nabc")
+        self.assertEqual((caught.exception.status, reader.ready), (501, []))
+
     def test_a_malformed_request_is_refused(self):
         self.assertEqual(self.read_error(b"\x00\x01\r\n\r\n"), 400)
 
@@ -288,6 +317,18 @@
                 reader.feed(data[start : start + size])
             self.assertEqual([len(r.body) for r in reader.ready], [300000, 300000])
 
+    def test_a_switch_to_another_protocol_is_an_error(self):
+        """It ended in an exception, and its caller was left without an answer."""
+        with self.assertRaises(http.ResponseError):
+            read_responses(
+                b"HTTP/1.1 101 S\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n"
+            )
+
+    def test_an_answer_that_asks_for_another_protocol_is_final(self):
+        head = b"HTTP/1.1 426 U\r\nUpgrade: h2c\r\nConnection: upgrade\r\n"
+        [response] = read_responses(head + b"Content-Length: 1\r\n\r\nx").ready
+        self.assertEqual((response.status, response.body), (426, b"x"))
+
     def test_a_malformed_response_is_an_error(self):
         with self.assertRaises(http.ResponseError):
             read_responses(b"garbage\r\n\r\n")
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -70,6 +70,14 @@
         answer = self.exchange(first + last)
         self.assertLess(answer.index(b"/one"), answer.index(b"/two"))
 
+    def test_an_offer_of_another_protocol_is_ignored(self):
+        """The request was taken without its body, and answered twice."""
+        offer = b"Upgrade: h2c\r\nConnection: Upgrade, close\r\n"
+        head = b"POST /one HTTP/1.1\r\nHost: a\r\n" + offer
+        answer = self.exchange(head + b"Content-Length: 3\r\n\r\n", b"abc", pause=0.1)
+        self.assertStatus(answer, 200)
+        self.assertEqual(answer.count(b"HTTP/1.1 "), 1)
+
     def test_slow_senders_do_not_delay_others(self):
         slow = [
             socket.create_connection(("127.0.0.1", self.node.port)) for _ in range(40)
--- a/tests/test_mesh_answers.py
+++ b/tests/test_mesh_answers.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from jackdawlanding.mesh import dispatcher
+from jackdawlanding.wire import http
 from tests import backendservers, callers, configurations, meshes
 
 
@@ -101,6 +102,40 @@
         self.assertEqual((path, body), ("/pay/1?x=2", b"abc"))
         self.assertEqual(seen["Host"], "pay.example")
 
+    def test_an_order_that_offers_another_protocol_runs_whole(self):
+        """It ran without its body, and a 400 that belonged to no request came."""
+        order = (
+            b"POST /pay/1 HTTP/1.1\r\nHost: pay.example\r\nX-Request-Id: id-%d\r\n"
+            b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+            b"HTTP2-Settings: AAMAAABk\r\nContent-Length: 3\r\n\r\nabc"
+        )
+        connection = http.ResponseReader()
+        with socket.create_connection(
+            (self.member.host, self.member.ports["outbound"])
+        ) as sock:
+            sock.settimeout(5)
+            for number in (6, 7):
+                sock.sendall(order % number)
+                while not connection.ready:
+                    connection.feed(sock.recv(4096))
+                [response] = connection.ready
+                connection.ready.clear()
+                self.assertEqual((response.status, response.body), (200, b"ran abc"))
+                seen = self.backend_server.seen[-1][1]
+                self.assertEqual(seen["X-Request-Id"], f"id-{number}")
+                for name in ("Upgrade", "Connection", "HTTP2-Settings"):
+                    self.assertNotIn(name, seen)
+            sock.settimeout(0.2)
+            with self.assertRaises(TimeoutError):
+                sock.recv(1)
+
+    def test_an_unasked_switch_of_protocols_is_a_502_at_once(self):
+        """It ended in an exception, and the caller had no answer until its deadline."""
+        self.backend_server.behaviours["/pay/switch"] = "switch"
+        start = time.monotonic()
+        self.assertEqual(self.call("/pay/switch", method="POST")[0], 502)
+        self.assertLess(time.monotonic() - start, 1.0)
+
     def test_an_answer_is_delivered_though_what_it_tells_can_t_be_recorded(self):
         with (
             mock.patch.object(
