Take no trailer for a header

What callers saw: a field behind the body of a chunked message, such as X-Server-Signature, was passed on as if it stood in the head, and fields of a caller's trailer reached the backend server as headers.

Cause: httptools reports trailers and headers by the same callback.

Evidence: test_a_trailer_is_no_header and test_fuzz_framing fail before the fix, which shows the trailer among the headers.

Change: what comes once the head is complete is counted, and dropped (RFC 9110, section 6.5.1).

Result: test_http, test_fuzz_framing, test_uploads, test_callers and test_mesh_answers pass.

--- a/src/jackdawlanding/wire/http.py
+++ b/src/jackdawlanding/wire/http.py
@@ -126,6 +126,8 @@
 class _MessageReader:
     """Collects the parts of one message at a time, up to limits.
 
+    Of the current message, ``has_head`` says whether the whole head was received.
+
     The parser keeps an unfinished header or chunk head to itself. A message without
     end is therefore also noticed by the bytes in a row that complete no part of it.
 
@@ -147,9 +149,13 @@
         self._in_message = self._has_progressed = True
 
     def on_header(self, name, value):
-        """Append a header; called by httptools."""
+        """Append a header, and drop a trailer; called by httptools.
+
+        RFC 9110, section 6.5.1: a trailer may not be taken for a header.
+        """
         self._count_head_bytes(len(name) + len(value) + 4)
-        self._headers.append((name, value))
+        if not self.has_head:
+            self._headers.append((name, value))
 
     def on_body(self, data):
         """Append a part of the body; called by httptools."""
@@ -198,6 +204,7 @@
         self._stalled_size = 0
         self._in_message = False
         self._has_progressed = True
+        self.has_head = False
 
     def _count_head_bytes(self, size):
         self._head_size += size
@@ -207,8 +214,8 @@
 class RequestReader(_MessageReader):
     """Parses a stream of bytes into requests of limited size.
 
-    ``ready`` holds the complete requests. Of the next one, ``has_begun`` says
-    whether any byte, and ``has_head`` whether the whole head was received.
+    ``ready`` holds the complete requests; ``has_begun`` says whether any byte of
+    the next one was received.
 
     :param limits: an object with ``head_bytes`` and ``body_bytes``.
     """
@@ -317,7 +324,6 @@
         self._url = b""
         self._error = None
         self.has_begun = False
-        self.has_head = False
 
     def _check_head_size(self, size):
         if size > self._limits.head_bytes:
@@ -374,7 +380,7 @@
 
         It ends a body that has neither a length nor a transfer encoding.
         """
-        if self._has_head and not self._is_framed:
+        if self.has_head and not self._is_framed:
             self._complete(keep_alive=False)
 
     def on_header(self, name, value):
@@ -388,8 +394,8 @@
         self._has_progressed = True
         self._make_index()
         self._is_framed = not _FRAMING_HEADERS.isdisjoint(self._index)
-        self._has_head = self._parser.get_status_code() >= 200
-        if self._has_head and self._is_head:
+        self.has_head = self._parser.get_status_code() >= 200
+        if self.has_head and self._is_head:
             self._complete(keep_alive=self._parser.should_keep_alive())
 
     def on_message_complete(self):
@@ -402,7 +408,6 @@
     def _reset(self):
         super()._reset()
         self._is_framed = False
-        self._has_head = False
 
     def _drop_interim(self):
         self._interim_count += 1
--- a/tests/test_fuzz_framing.py
+++ b/tests/test_fuzz_framing.py
@@ -116,4 +116,5 @@
             self.assertTrue(named.isdisjoint({b"upgrade", b"connection", b"expect"}))
             kept = [field for field in sent.fields if field[0] == b"X-Other"]
             self.assertEqual([f for f in passed if f[0] == b"X-Other"], kept)
+            self.assertNotIn(b"x-sum", named)
         self.assertFalse(reader.has_begun)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -324,6 +324,15 @@
                 b"HTTP/1.1 101 S\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n"
             )
 
+    def test_a_trailer_is_no_header(self):
+        """A signature behind the body was delivered as one in the head."""
+        data = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nA: 1\r\n\r\n"
+        data += b"1\r\nx\r\n0\r\nX-Server-Signature: s\r\nA: 2\r\n\r\n"
+        [response] = read_responses(data).ready
+        self.assertEqual(
+            response.headers, ((b"Transfer-Encoding", b"chunked"), (b"A", b"1"))
+        )
+
     def test_an_answer_that_asks_for_another_protocol_is_final(self):
         head = b"HTTP/1.1 426 U\r\nUpgrade: h2c\r\nConnection: upgrade\r\n"
         [response] = read_responses(head + b"Content-Length: 1\r\n\r\nx").ready
