Go on with a listing after the key that the store gave, and never without a pause

Cause: the key was replaced by one that can be sent to peers, and the listing went on after that one, which sorts before it. Nothing noticed that a listing did not advance; its pages, and a listing answered by 410, were read without a pause.

Evidence: before the fix test_storereader fails for both kinds of store ("False is not true": not ready), test_documents shows two keys with one name.

Change: keys stay as they are given, names for peers are made of them, one for each. mesh/listings.py tells how a listing goes on, or that it ends in part. test_a_key_can_be_sent_to_a_peer asserted the name "?" of an odd key, which two keys would share; the test in its place asserts that the names of seven odd keys can be sent and differ.

--- a/src/jackdawlanding/mesh/gossip.py
+++ b/src/jackdawlanding/mesh/gossip.py
@@ -53,6 +53,8 @@
         self._log = log
         self._publications = versions.ActivePublications(decode=self._try_decode)
         self._subscribers = []
+        # Whether the store listed what it can list, though not all.
+        self.is_partly_listed = False
 
     @property
     def configuration_version(self):
@@ -68,7 +70,8 @@
     @property
     def is_ready(self):
         """Whether a configuration and the backend servers are known."""
-        return self.route_table is not None and self.directory.complete_revision > 0
+        is_listed = self.directory.complete_revision > 0 or self.is_partly_listed
+        return self.route_table is not None and is_listed
 
     def get_age(self, now):
         """Return the seconds since the store confirmed this state."""
--- a/src/jackdawlanding/mesh/storereader.py
+++ b/src/jackdawlanding/mesh/storereader.py
@@ -5,12 +5,19 @@
 import time
 
 from jackdawlanding.decisions import readers
-from jackdawlanding.mesh import fetching
+from jackdawlanding.mesh import fetching, listings
 from jackdawlanding.platform import documents, targets
 
 logger = logging.getLogger("jackdaw.store")
 
 CHECK_INTERVAL_SECONDS = 0.1
+# The pause between pages of a listing. All daemons may list at once, and share the
+# store's rate.
+PAGE_INTERVAL_SECONDS = 0.02
+# The pause after a page that brings its listing no further, and after a listing that
+# ended in part.
+STALL_SECONDS = 0.25
+PARTIAL_SECONDS = 1.0
 RESPONSE_TIMEOUT_SECONDS = 1.5
 # A response to a long poll reflects the store when it was sent, at most this long
 # ago: twice a round trip between regions, with a slow store allowed for.
@@ -45,8 +52,14 @@
         self._failures = 0
         self._next_read_at = 0.0
         self._sent_at = 0.0
-        self._needs_listing = True
+        # A listing is needed until more than this revision is known completely.
+        self._gone_revision = 0
+        self._has_listed = False
         self._listing = None
+        # When a listing that ended in part is made again, and up to which revision of
+        # the store changes were read since.
+        self._relist_at = 0.0
+        self._partial_revision = 0
         self._position = 0
 
     def start(self):
@@ -64,25 +77,42 @@
         self._fleet_state.apply_held_removals()
         if self._fetcher.is_busy or now < self._next_read_at:
             return
+        if not self._needs_listing:
+            self._forget_listing()
+        elif self._listing is not None or now >= self._relist_at:
+            self._request_page()
+            return
         age = self._fleet_state.get_age(now)
-        if self._needs_listing and not self._fleet_state.is_ready:
-            self._request_listing()
-        elif readers.compute_read_delay(position=self._position, age=age) <= 0:
+        if readers.compute_read_delay(position=self._position, age=age) <= 0:
             self._request_changes()
 
-    def _request_listing(self, *, after=""):
-        if not after:
-            self._listing = None
-        self._send_read(
-            targets.format_range(ROOT_PREFIX, after=after), self._handle_listing
-        )
+    @property
+    def _needs_listing(self):
+        """Whether neither a listing nor a peer has told all that the store holds."""
+        if self._fleet_state.directory.complete_revision <= self._gone_revision:
+            return True
+        return not (self._has_listed or self._fleet_state.is_ready)
+
+    def _forget_listing(self):
+        self._listing = None
+        self._relist_at = 0.0
+        self._partial_revision = 0
+        self._fleet_state.is_partly_listed = False
+
+    def _request_page(self):
+        if self._listing is None:
+            self._listing = listings.Listing()
+        target = targets.format_range(ROOT_PREFIX, after=self._listing.after)
+        self._send_read(target, self._handle_listing)
 
     def _request_changes(self):
         is_assigned_reader = self._position < readers.READER_COUNT
         seconds = readers.WATCH_SECONDS if is_assigned_reader else 0.0
         target = targets.format_watch(
             ROOT_PREFIX,
-            revision=self._fleet_state.directory.complete_revision,
+            revision=max(
+                self._fleet_state.directory.complete_revision, self._partial_revision
+            ),
             seconds=seconds,
         )
         self._send_read(target, self._handle_events, seconds=seconds)
@@ -98,9 +128,12 @@
 
     def _handle_response(self, response, handle_page):
         now = time.monotonic()
-        if response is not None and response.status == STATUS_GONE:
+        is_gone = response is not None and response.status == STATUS_GONE
+        if is_gone and self._listing is None:
             self._log.note("store", "The history is gone; all is read again.")
-            self._request_listing()
+            self._gone_revision = self._fleet_state.directory.complete_revision
+            self._relist_at = 0.0
+            self._pause(PAGE_INTERVAL_SECONDS)
             return
         page = None
         if response is not None and response.status == STATUS_OK:
@@ -115,9 +148,15 @@
             self._log.note("store", "The store can be read again.", dependency="store")
         self._failures = 0
         self._fleet_state.record_store_contact(now=now, source="store")
-        self._next_read_at = now + readers.READ_INTERVAL_SECONDS
+        self._pause(readers.READ_INTERVAL_SECONDS)
         handle_page(page)
 
+    def _pause(self, seconds):
+        """Read next after a pause, and not only at the next check if it is short."""
+        self._next_read_at = time.monotonic() + seconds
+        if seconds < CHECK_INTERVAL_SECONDS:
+            self._loop.call_later(seconds, self._check)
+
     def _record_failure(self, now, response):
         self._failures += 1
         self._next_read_at = now + readers.compute_backoff(failures=self._failures)
@@ -129,26 +168,59 @@
             )
 
     def _handle_listing(self, page):
-        if self._listing is None:
-            self._listing = (page.revision, set())
-        revision, names = self._listing
         for item in page.items:
-            names.add(item.key)
             self._apply(item)
-        if page.has_more and page.items:
-            self._request_listing(after=page.items[-1].key)
-            return
-        self._listing = None
-        self._needs_listing = False
+        self._LISTING_STEPS[self._listing.add(page)](self)
+
+    def _continue_listing(self):
+        self._pause(PAGE_INTERVAL_SECONDS)
+
+    def _record_stall(self):
+        self._metrics.count("store_listings_stalled")
+        self._log.note(
+            "store",
+            "A page brings its listing no further.",
+            dependency="store",
+            after=self._listing.after,
+        )
+        self._pause(STALL_SECONDS)
+
+    def _end_listing(self):
+        listing = self._listing
+        self._forget_listing()
+        self._has_listed = True
+        self._gone_revision = -1
         instances = {
-            name.removeprefix(documents.BACKEND_PREFIX)
-            for name in names
-            if name.startswith(documents.BACKEND_PREFIX)
+            documents.get_instance(key)
+            for key in listing.keys
+            if key.startswith(documents.BACKEND_PREFIX)
         }
         self._fleet_state.remove_unlisted(
-            names=instances, revision=revision, source="store"
+            names=instances, revision=listing.revision, source="store"
         )
-        self._confirm(revision)
+        self._confirm(listing.revision)
+
+    def _end_listing_in_part(self):
+        """Use what was listed, remove nothing, and list again later."""
+        listing, self._listing = self._listing, None
+        self._relist_at = time.monotonic() + PARTIAL_SECONDS
+        self._partial_revision = max(self._partial_revision, listing.revision)
+        self._fleet_state.is_partly_listed = True
+        self._metrics.count("store_listings_partial")
+        self._log.note(
+            "store",
+            "A listing ended in part.",
+            dependency="store",
+            keys=len(listing.keys),
+            after=listing.after,
+        )
+
+    _LISTING_STEPS = {
+        listings.Step.NEXT: _continue_listing,
+        listings.Step.STALLED: _record_stall,
+        listings.Step.COMPLETE: _end_listing,
+        listings.Step.PARTIAL: _end_listing_in_part,
+    }
 
     def _handle_events(self, page):
         for item in page.items:
@@ -156,6 +228,10 @@
         self._confirm(page.revision)
 
     def _confirm(self, revision):
+        if self._partial_revision:
+            # Peers would take what this daemon knows for all there is.
+            self._partial_revision = max(self._partial_revision, revision)
+            return
         at = max(self._sent_at, time.monotonic() - MAXIMUM_TRANSIT_SECONDS)
         self._fleet_state.directory.confirm(revision=revision, at=at)
         if self._position < readers.READER_COUNT:
@@ -192,7 +268,7 @@
                     reason=str(error),
                 )
         self._fleet_state.put(
-            instance=item.key.removeprefix(documents.BACKEND_PREFIX),
+            instance=documents.get_instance(item.key),
             revision=item.revision,
             backend=backend,
             source="store",
--- a/src/jackdawlanding/platform/documents.py
+++ b/src/jackdawlanding/platform/documents.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import math
+import re
 import typing
 
 from jackdawlanding.decisions import directory, routes, validation
@@ -12,6 +13,8 @@
 CONFIGURATION_KEY = "op/config"
 BACKEND_PREFIX = "servers/"
 MILLIS_PER_SECOND = 1000.0
+# What no text for a peer can hold, and what marks its place.
+_REPLACED = re.compile("[\ud800-\udfff\ufffd]")
 # Whether a request of a route of this type may run more than once.
 _IS_SAFE = {"safe": True, "unsafe": False, "upload": False}
 # Whether a backend server in this state is draining.
@@ -51,7 +54,10 @@
 
 
 class Item(typing.NamedTuple):
-    """A key of the store; ``value`` is ``None`` if the key was removed."""
+    """A key of the store; ``value`` is ``None`` if the key was removed.
+
+    The key is as the store gave it, and may hold half of a UTF-16 pair.
+    """
 
     key: str
     revision: int
@@ -75,7 +81,7 @@
     :raises DocumentError: the data is not such an answer.
     """
     with _decoding("the store's answer"):
-        document = json.loads(data.decode(errors="replace"))
+        document = json.loads(data.decode(errors="surrogateescape"))
         entries = document["events"] if "events" in document else document["items"]
         return Page(
             items=tuple(_decode_item(entry) for entry in entries),
@@ -91,9 +97,16 @@
             value = base64.b64decode(entry["value"], validate=True)
         except (binascii.Error, TypeError, ValueError):
             value = b""
-    # A peer can't be sent a key with lone surrogates.
-    key = str(entry["key"]).encode(errors="replace").decode()
-    return Item(key=key, revision=int(entry["revision"]), value=value)
+    return Item(key=str(entry["key"]), revision=int(entry["revision"]), value=value)
+
+
+def get_instance(key):
+    """Return the name of the instance whose entry a key holds.
+
+    A peer can be sent any name, and no two keys have the same one.
+    """
+    name = key.removeprefix(BACKEND_PREFIX)
+    return _REPLACED.sub(lambda match: f"\ufffd{ord(match[0]):x};", name)
 
 
 def decode_configuration(data):
@@ -200,7 +213,7 @@
         host, _, port = entry["address"].rpartition(":")
         return validation.check_backend(
             directory.Backend(
-                instance=key.removeprefix(BACKEND_PREFIX),
+                instance=get_instance(key),
                 service=entry["service"],
                 host=host,
                 port=_parse_port(port),
--- a/src/jackdawlanding/platform/targets.py
+++ b/src/jackdawlanding/platform/targets.py
@@ -11,12 +11,13 @@
 def format_range(prefix, *, after=""):
     """Return the target that lists the keys with a prefix.
 
-    :param after: list only keys that sort after this one.
+    :param after: list only keys that sort after this one; half of a UTF-16 pair is
+        written as if it were a character.
     """
     query = {"prefix": prefix}
     if after:
         query["after"] = after
-    return f"{_RANGE_PATH}?{urllib.parse.urlencode(query)}"
+    return f"{_RANGE_PATH}?{urllib.parse.urlencode(query, errors='surrogatepass')}"
 
 
 def format_watch(prefix, *, revision, seconds):
