Name the headers of a head that can't be parsed again

Cause: the reader was reset before the error message was made, which then named no header. Change: the order of both. Result: test_http and test_fuzz_framing pass.

--- a/src/jackdawlanding/wire/http.py
+++ b/src/jackdawlanding/wire/http.py
@@ -264,10 +264,11 @@
             for name, value in self._headers
             if name.lower() != b"upgrade"
         ]
+        head = _join_head(lines, self._headers)
         self._reset()
         self.has_begun = True
         self._parser = httptools.HttpRequestParser(self)
-        self._parser.feed_data(_join_head(lines, self._headers))
+        self._parser.feed_data(head)
 
     def on_url(self, url):
         """Append a part of the target; called by httptools."""
