Refuse requests whose answers find no room beside those not read yet

What callers saw: clients that read answers of 12 MB slowly took their daemon over 300 MB.

Cause: nothing bounded the bytes that callers had not read yet.

Change: streams count what they have not sent. A request is refused, not run, if the answer, as large as the last ones of its route, most likely finds no room; requests with small answers never are. Large answers under way are read one after the other while there is no room, instead of giving up the largest.

--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -259,6 +259,7 @@
         notice = self.executor.notice.current
         gauges = {
             "connections": self.caller_server.connection_count,
+            "unsent_bytes": self.loop.unsent_bytes,
             "requests_in_flight": self.dispatcher.in_flight,
             "host_running": self.executor.controller.running,
             "host_queued": self.executor.controller.queued,
--- a/src/jackdawlanding/mesh/backends.py
+++ b/src/jackdawlanding/mesh/backends.py
@@ -10,7 +10,7 @@
 import time
 import typing
 
-from jackdawlanding.mesh import streams
+from jackdawlanding.mesh import memory, streams
 from jackdawlanding.wire import http, sockets
 
 logger = logging.getLogger("jackdaw.backends")
@@ -28,9 +28,6 @@
 MAXIMUM_REQUESTS_PER_CONNECTION = 256
 # Responses with the id of another request that are dropped while one is awaited.
 MAXIMUM_STRAY_RESPONSES = 16
-# The unfinished bodies of all responses. A body counts once it is large.
-MAXIMUM_BUFFERED_BYTES = 48 << 20
-LARGE_BODY_BYTES = 65536
 
 
 class Result(typing.NamedTuple):
@@ -54,6 +51,7 @@
         self._id_hashes = set()
         self.stream = stream
         self._connect_timer = connect_timer
+        self.started_at = 0.0
         self.idle_since = 0.0
         self.idle_seconds = IDLE_SECONDS
         self.attempt = None
@@ -67,11 +65,14 @@
 
     def start(self, attempt):
         self.attempt = attempt
+        self.started_at = time.monotonic()
         self._id_hashes.add(hash(attempt.request_id))
         self._stray_count = 0
         if attempt.is_head:
             self.reader = http.ResponseReader(is_head=True)
         self.stream.write(attempt.data)
+        # The stream holds what is not sent yet.
+        attempt.data = b""
 
     def has_carried(self, request_id):
         """Return whether a late response may carry an id."""
@@ -98,8 +99,8 @@
             self._finish(matched, not is_valid or matched is not ready[-1])
         elif not is_valid or self._stray_count > MAXIMUM_STRAY_RESPONSES:
             self.fail("garbled")
-        elif self.reader.body_bytes > LARGE_BODY_BYTES:
-            self.pool.limit_buffers()
+        elif self.reader.body_bytes > memory.LARGE_BYTES:
+            self.pool.limit_reading()
 
     def _feed(self, data):
         """Parse received bytes; return whether they are valid."""
@@ -223,18 +224,28 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
-    def limit_buffers(self):
-        """Give up the largest unfinished response if all of them are too large."""
-        total = sum(connection.reader.body_bytes for connection in self._open)
-        if total > MAXIMUM_BUFFERED_BYTES:
-            logger.warning("backends: unfinished responses hold %d bytes.", total)
-            largest = max(
-                self._open, key=lambda connection: connection.reader.body_bytes
-            )
-            largest.fail("oversized")
+    def limit_reading(self):
+        """Read large responses one after the other while too much is held."""
+        large = [
+            connection
+            for connection in self._open
+            if connection.reader.body_bytes > memory.LARGE_BYTES
+        ]
+        held = sum(connection.reader.body_bytes for connection in large)
+        if held + self._loop.unsent_bytes <= memory.MAXIMUM_HELD_BYTES:
+            paused = ()
+        else:
+            large.sort(key=lambda connection: connection.started_at)
+            paused = large[1:]
+        for connection in large:
+            if connection in paused:
+                connection.stream.pause()
+            else:
+                connection.stream.resume()
 
     def sweep(self):
-        """Close connections that have been idle for too long."""
+        """Close connections that have been idle for too long; read on where it may."""
+        self.limit_reading()
         now = time.monotonic()
         for connection in [
             connection
--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -8,7 +8,7 @@
 import logging
 import time
 
-from jackdawlanding.mesh import responses
+from jackdawlanding.mesh import memory, responses
 from jackdawlanding.platform import headers
 from jackdawlanding.wire import http
 
@@ -23,8 +23,6 @@
 # has not read before no further request of its connection is served.
 MAXIMUM_QUEUED_BYTES = 1 << 20
 MAXIMUM_UNSENT_BYTES = 1 << 18
-# All requests that are received or served at a time.
-MAXIMUM_BUFFERED_BYTES = 32 << 20
 # The Retry-After value of a request beyond that: some others have ended by then.
 BUFFERS_RETRY_SECONDS = 1.0
 BUFFERS_FULL = responses.make_refusal(
@@ -129,7 +127,7 @@
         if (
             self._refusal is None
             and self._reader.body_bytes
-            and self._server.buffered_bytes > MAXIMUM_BUFFERED_BYTES
+            and self._server.buffered_bytes > memory.MAXIMUM_HELD_BYTES
         ):
             self._refusal = BUFFERS_FULL
         # While one request alone is served, its caller's leave must be noticed.
--- a/src/jackdawlanding/mesh/dispatcher.py
+++ b/src/jackdawlanding/mesh/dispatcher.py
@@ -7,8 +7,15 @@
 import logging
 import time
 
-from jackdawlanding.decisions import notices, outcomes, selection, stops
-from jackdawlanding.mesh import exchanges, messages, resolver, responses, retries
+from jackdawlanding.decisions import answerroom, notices, outcomes, selection, stops
+from jackdawlanding.mesh import (
+    exchanges,
+    memory,
+    messages,
+    resolver,
+    responses,
+    retries,
+)
 from jackdawlanding.platform import headers
 from jackdawlanding.wire import http
 
@@ -24,6 +31,9 @@
 # shorter than any work.
 MINIMUM_REMAINING_SECONDS = 0.02
 
+# The Retry-After value where there is no room: some answers have been read by then.
+ROOM_RETRY_SECONDS = 1.0
+
 # Headers that are not forwarded as they came: the daemons set them, the id here and
 # the others in the executor.
 _DROPPED_HEADERS = http.HOP_BY_HOP_HEADERS | {
@@ -76,6 +86,7 @@
             log=log,
         )
         self._notices = notices.RemoteNotices()
+        self._answer_room = answerroom.AnswerRoom(maximum=memory.MAXIMUM_HELD_BYTES)
         self._is_shutting_down = False
         self._ends_at = float("inf")
         self._open = set()
@@ -115,6 +126,12 @@
         if refusal is not None:
             self._finish(exchange, refusal, "refused")
             return
+        kind = exchange.route.name
+        if not self._answer_room.has_room(kind=kind, held=self._loop.unsent_bytes):
+            exchange.retry_after = ROOM_RETRY_SECONDS
+            self._fail(exchange, "no-room")
+            return
+        exchange.reserved = self._answer_room.reserve(kind)
         exchange.deadline = min(exchange.deadline, self._ends_at)
         remaining = exchange.deadline - time.monotonic()
         exchange.timer = self._loop.call_later(
@@ -128,7 +145,7 @@
         if exchange.respond is None:
             return
         exchange.respond = None
-        self._open.discard(exchange)
+        self._close(exchange)
         self._cancel_attempt(exchange)
         self.access_log.record_abandoned(exchange, reason)
 
@@ -322,6 +339,7 @@
             headers=tuple(zip(reply.headers[::2], reply.headers[1::2], strict=True)),
             body=reply.body,
         )
+        self._answer_room.record(exchange.route.name, len(reply.body))
         if exchange.may_have_run:
             self._retry_policy.record_result(exchange, is_success=reply.status < 500)
         exchange.may_have_run = True
@@ -428,12 +446,18 @@
         respond, exchange.respond = exchange.respond, None
         if respond is None:
             return
-        self._open.discard(exchange)
+        self._close(exchange)
         if exchange.timer is not None:
             exchange.timer.cancel()
         self.access_log.record_response(exchange, response, reason)
         respond(response)
 
+    def _close(self, exchange):
+        """Forget a request; the room for its answer is free."""
+        self._open.discard(exchange)
+        self._answer_room.release(exchange.reserved)
+        exchange.reserved = 0
+
     def _cancel_attempt(self, exchange):
         """Cancel the current attempt; return whether it certainly never runs."""
         if exchange.timer is not None:
--- a/src/jackdawlanding/mesh/eventloop.py
+++ b/src/jackdawlanding/mesh/eventloop.py
@@ -44,6 +44,8 @@
         self._sequence = itertools.count()
         self._ready = []
         self._running = True
+        # What all streams have buffered, but not sent.
+        self.unsent_bytes = 0
         # Shared by all streams, which read one at a time.
         self.buffer = bytearray(READ_BYTES)
 
--- a/src/jackdawlanding/mesh/exchanges.py
+++ b/src/jackdawlanding/mesh/exchanges.py
@@ -28,6 +28,7 @@
         "parent",
         "request",
         "request_id",
+        "reserved",
         "retry_probability",
         "respond",
         "retry_after",
@@ -65,6 +66,8 @@
         self.retry_after = 0.0
         self.timer = None
         self.may_have_run = False
+        # Bytes of room that are reserved for the answer.
+        self.reserved = 0
         # An error response of a backend server, used if no retry succeeds.
         self.fallback = None
         self.retry_probability = 0.0
--- /dev/null
+++ b/src/jackdawlanding/mesh/memory.py
@@ -0,0 +1,11 @@
+"""How much a daemon holds for others.
+
+The smallest machines have 200 MB. A body is held up to three times while it is passed
+on, and buffers that grow take up to twice what they hold.
+"""
+
+# The most bytes of each: requests of callers, calls of other daemons, and answers that
+# were not read yet.
+MAXIMUM_HELD_BYTES = 32 << 20
+# Smaller bodies and messages are not held up for room.
+LARGE_BYTES = 65536
--- a/src/jackdawlanding/mesh/streams.py
+++ b/src/jackdawlanding/mesh/streams.py
@@ -95,8 +95,9 @@
                 return
             if sent == len(data):
                 return
-            data = data[sent:]
+            data = memoryview(data)[sent:]
         self._unsent += data
+        self._loop.unsent_bytes += len(data)
         self._watch()
 
     def pause(self):
@@ -118,6 +119,7 @@
             if self.sock is not None:
                 self._loop.unwatch(self.sock.fileno())
                 self.sock.close()
+            self._loop.unsent_bytes -= len(self._unsent)
             self._unsent.clear()
             # The callbacks refer to what was received, and their owner to the stream.
             self.on_open = self.on_data = self.on_closed = self.on_drained = None
@@ -173,6 +175,7 @@
                 self.close_and_notify(was_reset=True)
                 return
             del self._unsent[:sent]
+            self._loop.unsent_bytes -= sent
             if not self._unsent:
                 self._finish_flush()
         elif not self.is_closed:
--- a/tests/backendservers.py
+++ b/tests/backendservers.py
@@ -35,9 +35,10 @@
     ``checks`` counts health checks, which stay without an answer if ``is_checked`` is
     false. ``notice`` holds headers of all answers, ``arrivals`` when each request
     arrived, in ``time.monotonic()`` seconds, and ``ids`` all ids of each request.
-    ``call_out`` makes a call for a request id and returns whether it succeeded; the
-    behaviour ``"nested"`` needs it. With ``copies_refusals``, each refusal comes once
-    more on its connection, after the next request.
+    ``bodies`` holds those of answers by path. ``call_out`` makes a call for a request
+    id and returns whether it succeeded; the behaviour ``"nested"`` needs it. With
+    ``copies_refusals``, each refusal comes once more on its connection, after the next
+    request.
     """
 
     def __init__(self, *, service, instance, slots=4, host="127.0.0.1"):
@@ -60,6 +61,7 @@
         self.arrivals = []
         self.call_out = None
         self.copies_refusals = False
+        self.bodies = {}
         self.connections = []
         self.lock = threading.Lock()
         self._serve()
@@ -179,7 +181,8 @@
 
 def _answer_normally(backend_server, handler, request_id, body):
     headers = {"X-Request-Id": request_id, "X-Server-Signature": SIGNATURE}
-    servers.send(handler, 200, b"ran " + body, {**headers, **backend_server.notice})
+    answer = backend_server.bodies.get(handler.path, b"ran " + body)
+    servers.send(handler, 200, answer, {**headers, **backend_server.notice})
 
 
 def _answer_in_small_chunks(backend_server, handler, request_id, body):
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -282,7 +282,7 @@
         try:
             for member in self.members:
                 member.start()
-            self._wait_ready()
+            self.wait_ready()
             callers = self._start(*[self._call_repeatedly] * CALLERS)
             self._start(self._write_odd_entries)
             faults = self._start(*self._draw_faults())
@@ -303,10 +303,14 @@
             self.store.stop()
         self._check()
         if not self.broken:
-            shutil.rmtree(self.folder)
+            self.remove_logs()
         return self.broken
 
-    def change_configuration(self):
+    def remove_logs(self):
+        """Remove the settings and logs of the daemons."""
+        shutil.rmtree(self.folder)
+
+    def change_configuration(self, *, limits=LIMITS):
         """Publish the next version and return it; only its timeouts differ."""
         version = next(self._version)
         timeout = 4000 + version
@@ -318,7 +322,7 @@
         ]
         self.store.put(
             "op/config",
-            configurations.make(version, *routes, services=("bank",), limits=LIMITS),
+            configurations.make(version, *routes, services=("bank",), limits=limits),
         )
         return version
 
@@ -412,7 +416,9 @@
             thread.start()
         return threads
 
-    def _wait_ready(self):
+    def wait_ready(self):
+        """Wait until all daemons that were started are ready."""
+
         def is_ready(member):
             connection = http.client.HTTPConnection(
                 member.host, member.ports["ready"], timeout=2
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -7,7 +7,7 @@
 import time
 import unittest
 
-from jackdawlanding.mesh import callers, messages, streams
+from jackdawlanding.mesh import memory, messages, streams
 from jackdawlanding.wire import http
 from tests import configurations, meshes
 
@@ -141,9 +141,9 @@
             thread.join()
         meshes.wait_until(
             lambda: (
-                callers.MAXIMUM_BUFFERED_BYTES / 2
+                memory.MAXIMUM_HELD_BYTES / 2
                 < server.buffered_bytes
-                < callers.MAXIMUM_BUFFERED_BYTES + (1 << 20)
+                < memory.MAXIMUM_HELD_BYTES + (1 << 20)
             )
         )
         answers = []
