Read large messages between daemons one after the other where they are many

What callers saw: 11 bodies of 20 MB that came from other machines at once took a daemon over 300 MB.

Change: links with a large message under way are read one after the other while these messages, the bodies of running calls and unsent bytes are over 32 MB, and not at all while the calls alone are.

--- a/src/jackdawlanding/mesh/codec.py
+++ b/src/jackdawlanding/mesh/codec.py
@@ -72,6 +72,8 @@
         # Bytes that the unpacker was fed.
         self._fed = 0
         self._decompressor = None
+        # The size of the part of a message that was received.
+        self.pending_bytes = 0
 
     def feed(self, data):
         """Return the messages that ``data`` completes.
@@ -101,6 +103,7 @@
             zlib.error,
         ) as error:
             raise MessageError(f"a peer's message can't be read: {error!r}") from error
+        self.pending_bytes = self._fed - unpacker.tell()
         if end == self._fed:
             self._unpacker = None
             self._fed = 0
--- a/src/jackdawlanding/mesh/serving.py
+++ b/src/jackdawlanding/mesh/serving.py
@@ -4,7 +4,7 @@
 import time
 
 from jackdawlanding.decisions import outcomes
-from jackdawlanding.mesh import codec, messages
+from jackdawlanding.mesh import codec, memory, messages
 
 logger = logging.getLogger("jackdaw.links")
 
@@ -22,10 +22,11 @@
 class _ServedCall:
     """A call that this daemon serves for another daemon."""
 
-    __slots__ = ("ended_at", "execution", "is_safe", "link", "reply")
+    __slots__ = ("body_bytes", "ended_at", "execution", "is_safe", "link", "reply")
 
-    def __init__(self, *, link, is_safe):
+    def __init__(self, *, link, is_safe, body_bytes):
         self.link = link
+        self.body_bytes = body_bytes
         self.is_safe = is_safe
         self.execution = None
         self.reply = None
@@ -41,6 +42,8 @@
         self._encoder = codec.Encoder()
         self._decoder = codec.Decoder()
         self.hello = None
+        # Since when a large message is arriving, ``None`` if none is.
+        self.large_since = None
         stream.on_data = self._on_data
         stream.on_closed = lambda was_reset: server.on_link_lost(self)
 
@@ -52,6 +55,11 @@
         """Compress later messages, for a calling daemon in another region."""
         self._encoder.is_compressed = True
 
+    @property
+    def pending_bytes(self):
+        """The size of the part of a message that was received."""
+        return self._decoder.pending_bytes
+
     def _on_data(self, data):
         try:
             received = self._decoder.feed(data)
@@ -70,6 +78,17 @@
                 logger.exception("links: a link is closed: a message failed.")
                 self.stream.close()
                 self._server.on_link_lost(self)
+                return
+        self._note_large()
+
+    def _note_large(self):
+        """Let large messages be read one after the other where they are too many."""
+        if self.pending_bytes <= memory.LARGE_BYTES:
+            self.large_since = None
+            return
+        if self.large_since is None:
+            self.large_since = time.monotonic()
+        self._server.limit_reading()
 
 
 class LinkServer:
@@ -143,8 +162,35 @@
                 ORPHAN_GRACE_SECONDS, lambda: self._cancel_orphans(link)
             )
 
+    def limit_reading(self):
+        """Read large messages one after the other while too much is held.
+
+        None is read while the calls that run hold too much: they end by themselves.
+        """
+        large = [link for link in self._links.values() if link.large_since is not None]
+        if not large:
+            return
+        large.sort(key=lambda link: link.large_since)
+        running = sum(
+            served.body_bytes
+            for served in self._served.values()
+            if served.execution is not None
+        )
+        arriving = sum(link.pending_bytes for link in large)
+        if running > memory.MAXIMUM_HELD_BYTES:
+            readable = 0
+        elif running + arriving + self._loop.unsent_bytes > memory.MAXIMUM_HELD_BYTES:
+            readable = 1
+        else:
+            readable = len(large)
+        for link in large[:readable]:
+            link.stream.resume()
+        for link in large[readable:]:
+            link.stream.pause()
+
     def sweep(self):
-        """Remove replies and dropped incarnations whose retention has ended."""
+        """Read on where it may be; remove what was retained for long enough."""
+        self.limit_reading()
         now = time.monotonic()
         for key, served in list(self._served.items()):
             if served.reply and now - served.ended_at > REPLY_RETENTION_SECONDS:
@@ -190,7 +236,9 @@
         if key in self._served:
             logger.warning("links: duplicate call %d is ignored.", call.number)
             return
-        served = self._served[key] = _ServedCall(link=link, is_safe=call.is_safe)
+        served = self._served[key] = _ServedCall(
+            link=link, is_safe=call.is_safe, body_bytes=len(call.body)
+        )
         served.execution = self._executor.submit(
             call, lambda reply: self._finish(key, served, reply)
         )
--- a/tests/test_mesh_memory.py
+++ b/tests/test_mesh_memory.py
@@ -8,6 +8,7 @@
 from tests import soak
 
 ANSWER = b"a" * (12 << 20)
+BODY = b"b" * (10 << 20)
 LIMITS = {"maxBodyBytes": 32 << 20}
 READ_BYTES = 1 << 16
 READ_SECONDS = 0.025
@@ -35,6 +36,15 @@
         self.soak.store.stop()
         self.soak.remove_logs()
 
+    def serve_by_first(self):
+        """Let all requests go to the first member, by links from the others."""
+        self.first_server = self.members[0].backend_server
+        self.first_server.bodies["/pay/2"] = b"done"
+        self.first_server.seconds = 0.4
+        for member in self.members[1:]:
+            self.soak.store.put(f"servers/{member.backend_server.instance}", None)
+        time.sleep(soak.CONFIGURATION_SECONDS)
+
     def exchange(self, member, target, *, body=None, pause=0.0):
         """Return the status and body of an answer that is read with pauses."""
         connection = member.connect()
@@ -91,6 +101,13 @@
             time.sleep(0.08)
         return started
 
+    def send_bodies(self, threads):
+        """Start callers that send large bodies over links to the first server."""
+        return [
+            threads.submit(self.exchange, member, "/pay/2", body=BODY)
+            for member in self.members[1:] * 3
+        ]
+
     def check_answers(self, started, expected):
         """Check that some answers are whole, and all others refused."""
         results = [future.result() for future in started]
@@ -105,3 +122,24 @@
             orders = threads.submit(self.send_orders, self.members[0])
             self.check_answers(self.read_slowly(threads), ANSWER)
         self.check(orders.result())
+
+    def test_large_bodies_cost_no_other_caller_anything(self):
+        """Bodies that arrived over links took a daemon over its memory."""
+        self.serve_by_first()
+        with concurrent.futures.ThreadPoolExecutor(THREADS) as threads:
+            orders = threads.submit(self.send_orders, self.members[0])
+            self.check_answers(self.send_bodies(threads), b"done")
+        seen = [
+            body for *_, path, _, body in self.first_server.seen if path == "/pay/2"
+        ]
+        self.assertEqual(set(seen), {BODY})
+        self.check(orders.result())
+
+    def test_slow_readers_and_large_bodies_leave_room_for_others(self):
+        self.serve_by_first()
+        with concurrent.futures.ThreadPoolExecutor(THREADS) as threads:
+            orders = threads.submit(self.send_orders, self.members[0])
+            readers = self.read_slowly(threads)
+            self.check_answers(self.send_bodies(threads), b"done")
+            self.check_answers(readers, ANSWER)
+        self.check(orders.result())
