Bound what callers have not read also where answers were not expected to be large

Cause: one large answer at a time was read on however much callers had left to read, and one large answer among small ones let the next requests of its route be refused: the expected size was that of the largest.

Change: no large answer is read on while the bytes that were not sent are over 32 MB; the same function tells so for links. The expected size follows larger answers by three tenths, smaller ones by a tenth.

--- a/src/jackdawlanding/decisions/answerroom.py
+++ b/src/jackdawlanding/decisions/answerroom.py
@@ -6,7 +6,9 @@
 
 # Small answers are not counted: their requests are never refused for room.
 SMALL_BYTES = 65536
-# The share of the difference by which an expected size follows smaller answers.
+# The share of the difference by which an expected size follows larger answers, and
+# smaller ones.
+RISE_SHARE = 0.3
 DECLINE_SHARE = 0.1
 
 
@@ -43,8 +45,8 @@
     def record(self, kind, size):
         """Record the size of an answer, in bytes."""
         known = self._expected.get(kind, 0)
-        decline = (known - size) * DECLINE_SHARE
-        self._expected[kind] = max(size, int(known - decline))
+        share = RISE_SHARE if size > known else DECLINE_SHARE
+        self._expected[kind] = known + int((size - known) * share)
 
     def _get_expected(self, kind):
         expected = self._expected.get(kind, 0)
--- a/src/jackdawlanding/mesh/backends.py
+++ b/src/jackdawlanding/mesh/backends.py
@@ -225,23 +225,25 @@
             self._idle.remove(connection)
 
     def limit_reading(self):
-        """Read large responses one after the other while too much is held."""
+        """Read large responses one after the other while too much is held.
+
+        None is read while callers and peers alone have too much left to read.
+        """
         large = [
             connection
             for connection in self._open
             if connection.reader.body_bytes > memory.LARGE_BYTES
         ]
-        held = sum(connection.reader.body_bytes for connection in large)
-        if held + self._loop.unsent_bytes <= memory.MAXIMUM_HELD_BYTES:
-            paused = ()
-        else:
-            large.sort(key=lambda connection: connection.started_at)
-            paused = large[1:]
-        for connection in large:
-            if connection in paused:
-                connection.stream.pause()
-            else:
-                connection.stream.resume()
+        large.sort(key=lambda connection: connection.started_at)
+        readable = memory.count_readable(
+            held=self._loop.unsent_bytes,
+            arriving=sum(connection.reader.body_bytes for connection in large),
+            count=len(large),
+        )
+        for connection in large[:readable]:
+            connection.stream.resume()
+        for connection in large[readable:]:
+            connection.stream.pause()
 
     def sweep(self):
         """Close connections that have been idle for too long; read on where it may."""
--- a/src/jackdawlanding/mesh/memory.py
+++ b/src/jackdawlanding/mesh/memory.py
@@ -9,3 +9,15 @@
 MAXIMUM_HELD_BYTES = 32 << 20
 # Smaller bodies and messages are not held up for room.
 LARGE_BYTES = 65536
+
+
+def count_readable(*, held, arriving, count):
+    """Return how many of some large messages may be read on at the same time.
+
+    :param held: bytes that are freed whatever is read.
+    :param arriving: bytes that the messages take, and others beside them.
+    :param count: the number of the messages.
+    """
+    if held > MAXIMUM_HELD_BYTES:
+        return 0
+    return count if held + arriving <= MAXIMUM_HELD_BYTES else 1
--- a/src/jackdawlanding/mesh/serving.py
+++ b/src/jackdawlanding/mesh/serving.py
@@ -177,12 +177,11 @@
             if served.execution is not None
         )
         arriving = sum(link.pending_bytes for link in large)
-        if running > memory.MAXIMUM_HELD_BYTES:
-            readable = 0
-        elif running + arriving + self._loop.unsent_bytes > memory.MAXIMUM_HELD_BYTES:
-            readable = 1
-        else:
-            readable = len(large)
+        readable = memory.count_readable(
+            held=running,
+            arriving=arriving + self._loop.unsent_bytes,
+            count=len(large),
+        )
         for link in large[:readable]:
             link.stream.resume()
         for link in large[readable:]:
