--- a/tests/soak.py
+++ b/tests/soak.py
@@ -700,30 +700,25 @@
 
 def answer_without_end(soak, member, *values):
     """Let a caller ask for an answer in small chunks that never ends."""
-    connection = member.connect()
-    soak.send(
-        member,
-        connection,
-        number=f"q{next(soak.numbers)}",
-        is_safe=True,
-        path="endless",
-        deadline=1500,
-    )
-    connection.close()
+    _send_alone(soak, member, is_safe=True, path="endless", deadline=1500)
 
 
 def read_slowly(soak, member, *values):
     """Let a caller send a large order and read the answer, as large, slowly."""
-    connection = member.connect()
-    soak.send(
+    _send_alone(
+        soak,
         member,
-        connection,
-        number=f"q{next(soak.numbers)}",
         is_safe=False,
         path="1",
         deadline=DEADLINE_MILLIS,
         padding=LARGE_BODY,
     )
+
+
+def _send_alone(soak, member, **fields):
+    """Send a request on a connection of its own."""
+    connection = member.connect()
+    soak.send(member, connection, number=f"q{next(soak.numbers)}", **fields)
     connection.close()
 
 
