Lower the bound on what is held, and write large answers without joining them

Cause: with slow readers and large bodies at once a daemon took 190 to 201 MB in four runs of test_slow_readers_and_large_bodies_leave_room_for_others, where 200 are allowed. A head and a large body were joined, which held the body twice.

Change: calls of other daemons, and answers that were not read yet, share 12 MB each instead of 32. A head and a large body are written one after the other.

--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -127,7 +127,7 @@
         if (
             self._refusal is None
             and self._reader.body_bytes
-            and self._server.buffered_bytes > memory.MAXIMUM_HELD_BYTES
+            and self._server.buffered_bytes > memory.MAXIMUM_REQUEST_BYTES
         ):
             self._refusal = BUFFERS_FULL
         # While one request alone is served, its caller's leave must be noticed.
@@ -224,12 +224,17 @@
     def _write(self, response, *, keep_alive, is_head=False):
         options = {"keep_alive": keep_alive, "is_head": is_head}
         try:
-            data = http.format_response(response, **options)
+            head, body = http.format_response_parts(response, **options)
         except Exception:
             # It may come from a daemon of another version.
             logger.exception("entry: An answer can't be written.")
-            data = http.format_response(UNWRITABLE, **options)
-        self.stream.write(data)
+            head, body = http.format_response_parts(UNWRITABLE, **options)
+        if len(body) > memory.LARGE_BYTES:
+            # Joining them would hold the body twice.
+            self.stream.write(head)
+            self.stream.write(body)
+        else:
+            self.stream.write(head + body)
 
     def _end(self, *, lingers):
         """Close the connection once the last response is sent."""
--- a/src/jackdawlanding/mesh/memory.py
+++ b/src/jackdawlanding/mesh/memory.py
@@ -4,9 +4,10 @@
 on, and buffers that grow take up to twice what they hold.
 """
 
-# The most bytes of each: requests of callers, calls of other daemons, and answers that
-# were not read yet.
-MAXIMUM_HELD_BYTES = 32 << 20
+# The most bytes of the requests of callers that are received or served.
+MAXIMUM_REQUEST_BYTES = 32 << 20
+# The most bytes of the calls of other daemons, and of answers that were not read yet.
+MAXIMUM_HELD_BYTES = 12 << 20
 # Smaller bodies and messages are not held up for room.
 LARGE_BYTES = 65536
 
--- a/src/jackdawlanding/wire/http.py
+++ b/src/jackdawlanding/wire/http.py
@@ -494,7 +494,14 @@
 
 
 def format_response(response, *, keep_alive, is_head=False):
-    """Return the bytes of a response.
+    """Return the bytes of a response; see :func:`format_response_parts`."""
+    return b"".join(
+        format_response_parts(response, keep_alive=keep_alive, is_head=is_head)
+    )
+
+
+def format_response_parts(response, *, keep_alive, is_head=False):
+    """Return the bytes of a response's head and of its body.
 
     :param is_head: whether it answers a HEAD request and is sent without a body.
     :raises HeadError: its status is no final one, or a part of its head would end its
@@ -510,7 +517,7 @@
     if not keep_alive:
         lines.append(b"Connection: close")
     head = _join_head(lines, response.headers)
-    return head if is_head else head + response.body
+    return head, b"" if is_head else response.body
 
 
 def make_text_response(status, text, *, headers=()):
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -195,14 +195,14 @@
     def test_large_requests_beyond_the_buffers_are_refused_as_not_run(self):
         """Many uploads at once filled the daemon's memory."""
         server = self.serving.server
-        server.buffered_bytes = memory.MAXIMUM_HELD_BYTES
+        server.buffered_bytes = memory.MAXIMUM_REQUEST_BYTES
         self.serving.stream.on_data(
             b"POST /unsafe/1 HTTP/1.1\r\nContent-Length: 90\r\n\r\n" + b"x" * 50
         )
         self.assertEqual(self.serving.read_responses(), [(503, "")])
         self.assertIn(b"Retry-After", self.serving.stream.sent)
         self.assertEqual(self.serving.started, [])
-        self.assertEqual(server.buffered_bytes, memory.MAXIMUM_HELD_BYTES)
+        self.assertEqual(server.buffered_bytes, memory.MAXIMUM_REQUEST_BYTES)
 
     def test_the_caller_s_leave_cancels_all_and_frees_the_buffers(self):
         self.serving.send(0, body=b"x" * 80)
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -141,9 +141,9 @@
             thread.join()
         meshes.wait_until(
             lambda: (
-                memory.MAXIMUM_HELD_BYTES / 2
+                memory.MAXIMUM_REQUEST_BYTES / 2
                 < server.buffered_bytes
-                < memory.MAXIMUM_HELD_BYTES + (1 << 20)
+                < memory.MAXIMUM_REQUEST_BYTES + (1 << 20)
             )
         )
         answers = []
