Soak: tell whether a late request ran, and an answer that ends early

An answer that a kill of its daemon cut short was recorded as a whole one, since read() with a size tells of no early end. A request that reached a leaving server late was reported without its id, and a 421, which counts as no request, looks the same.

Change: a body shorter than its length is no answer; a late request is reported with its id and whether it ran. Both checks are as strict as before.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -538,7 +538,11 @@
         pieces.append(piece)
         if is_slow:
             time.sleep(SLOW_READ_SECONDS)
-    return b"".join(pieces)
+    body = b"".join(pieces)
+    if response.length:
+        # read() with a size tells of no early end.
+        raise http.client.IncompleteRead(body, response.length)
+    return body
 
 
 def check_once(soak, record, run_count):
@@ -586,7 +590,7 @@
     sent_at = {record.number: record.sent_at for record in soak.records}
     backend_server = notice.backend_server
     arrivals = [
-        (at, headers.get(SOURCE_HEADER), sent_at.get(number, 0.0))
+        (at, headers.get(SOURCE_HEADER), sent_at.get(number, 0.0), number)
         for at, (number, headers, *_) in zip(
             backend_server.arrivals, backend_server.seen, strict=True
         )
@@ -594,14 +598,18 @@
     ]
     if notice.rate is None:
         late = [
-            source
-            for at, source, sent in arrivals
+            (source, number)
+            for _, source, sent, number in arrivals
             if source in told and sent > told[source] + DRAIN_SECONDS
         ]
-        return [f"reached a leaving server from {name}: {notice}" for name in late]
+        return [
+            f"{number} from {source} reached a leaving server, and "
+            f"{'ran' if number in backend_server.runs else 'was refused'}: {notice}"
+            for source, number in late
+        ]
     times = sorted(
         at
-        for at, source, _ in arrivals
+        for at, source, _, _ in arrivals
         if source in told
         and told[source] + TOLD_SECONDS <= at
         and notice.begins_at + STABLE_SECONDS <= at
