Answer a caller also where a peer's reply has a body that is none

Cause: head and body were joined behind the handler of what can't be written.

Change: the parts are made inside of it.

Result: test_mesh_replies and test_callers pass.

--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -224,17 +224,13 @@
     def _write(self, response, *, keep_alive, is_head=False):
         options = {"keep_alive": keep_alive, "is_head": is_head}
         try:
-            head, body = http.format_response_parts(response, **options)
+            parts = _format_parts(response, **options)
         except Exception:
             # It may come from a daemon of another version.
             logger.exception("entry: An answer can't be written.")
-            head, body = http.format_response_parts(UNWRITABLE, **options)
-        if len(body) > memory.LARGE_BYTES:
-            # Joining them would hold the body twice.
-            self.stream.write(head)
-            self.stream.write(body)
-        else:
-            self.stream.write(head + body)
+            parts = _format_parts(UNWRITABLE, **options)
+        for part in parts:
+            self.stream.write(part)
 
     def _end(self, *, lingers):
         """Close the connection once the last response is sent."""
@@ -265,6 +261,13 @@
                 entry.active.cancel()
 
 
+def _format_parts(response, **options):
+    """Return the bytes of a response in parts; a large body is not held twice."""
+    head, body = http.format_response_parts(response, **options)
+    data = memoryview(body)
+    return (head, data) if len(data) > memory.LARGE_BYTES else (head + body,)
+
+
 class CallerServer:
     """Serves the connections of callers.
 
