Remember the name in a health check until the record of that name comes

What callers saw: with 200 copies of its entry and a daemon that started again, orders for a server got 503 for up to a second, as three of the copies were refused with 421 in turn.

A health check between two pages named the server before its record was known, so that nothing was confirmed, and the next check came a second later.

Change: the name is kept until the next check, the end of the server, or its disproof, and confirmed once its record is known.

--- a/src/jackdawlanding/mesh/occupant.py
+++ b/src/jackdawlanding/mesh/occupant.py
@@ -39,6 +39,8 @@
         self._on_change = on_change
         self._metrics = metrics
         self._checked_at = float("-inf")
+        # The name in the last health check; its record may come after that.
+        self._checked_name = ""
 
     @property
     def backend(self):
@@ -98,19 +100,25 @@
 
     def forget(self):
         """Forget who answered: the backend server has ended."""
+        self._checked_name = ""
         self._fleet_state.directory.forget_occupant(self._address)
 
     def check(self):
         """Ask the backend server for its name if the records leave it open."""
         now = time.monotonic()
-        if not self._is_contested or now - self._checked_at < CHECK_INTERVAL_SECONDS:
+        if not self._is_contested:
             return
         if self._takes_calls(self.instance) or not self.may_run():
             return
+        if now - self._checked_at < CHECK_INTERVAL_SECONDS:
+            if not self._fleet_state.directory.is_disproved(self._checked_name):
+                self.confirm(self._checked_name)
+            return
         target = self._fleet_state.get_health_path(self._service)
         if not target:
             return
         self._checked_at = now
+        self._checked_name = ""
         attempt = backends.Attempt(
             data=http.format_request(
                 method="GET",
@@ -138,6 +146,7 @@
         name = result.response.get_header(headers.INSTANCE_ID.lower()).decode("latin-1")
         if not name:
             return
+        self._checked_name = name
         self.confirm(name)
         for record in self._list_records():
             if record.backend.instance != name:
