Log the era of the store, and show it as a metric

Cause: the header Store-Era rises when the store is restored from a copy. Logs and metrics did not hold it, so that a restore could not be told from a history that was discarded.

Change: the reader notes each change of the era; gauge store_era.

Result: test_the_log_tells_when_the_store_is_in_another_era; it needs what this adds, and says nothing about the hypotheses.

--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -275,6 +275,7 @@
             ),
             "links_unreachable": self.links.unreachable_count,
             "directory_revision": self.fleet_state.directory.complete_revision,
+            "store_era": self.reader.era,
             "knowledge_age_seconds": round(
                 min(1e6, self.fleet_state.get_age(time.monotonic())), 3
             ),
--- a/src/jackdawlanding/mesh/storereader.py
+++ b/src/jackdawlanding/mesh/storereader.py
@@ -61,6 +61,8 @@
         self._relist_at = 0.0
         self._partial_revision = 0
         self._position = 0
+        # The era of the last answer.
+        self.era = 0
 
     def start(self):
         """Start to read, at a random time within the first check interval."""
@@ -138,6 +140,7 @@
         page = None
         if response is not None and response.status == STATUS_OK:
             try:
+                self._record_era(documents.decode_era(response))
                 page = documents.decode_page(response.body)
             except documents.DocumentError as error:
                 logger.warning("store: %s", error)
@@ -151,6 +154,11 @@
         self._pause(readers.READ_INTERVAL_SECONDS)
         handle_page(page)
 
+    def _record_era(self, era):
+        if era != self.era:
+            before, self.era = self.era, era
+            self._log.note("store", "The store is in another era.", era=era, was=before)
+
     def _pause(self, seconds):
         """Read next after a pause, and not only at the next check if it is short."""
         self._next_read_at = time.monotonic() + seconds
--- a/src/jackdawlanding/platform/documents.py
+++ b/src/jackdawlanding/platform/documents.py
@@ -9,6 +9,7 @@
 import typing
 
 from jackdawlanding.decisions import directory, routes, validation
+from jackdawlanding.platform import headers
 
 CONFIGURATION_KEY = "op/config"
 BACKEND_PREFIX = "servers/"
@@ -75,6 +76,17 @@
     has_more: bool = False
 
 
+def decode_era(response):
+    """Return the era of the store that answered, 0 if it doesn't say.
+
+    :raises DocumentError: the era is no number.
+    """
+    value = response.get_header(headers.STORE_ERA.lower())
+    if value and not value.isdigit():
+        raise DocumentError(f"{validation.quote(value)} is no era of the store")
+    return int(value or 0)
+
+
 def decode_page(data):
     """Return the :class:`Page` that a range read or a watch answered.
 
--- a/src/jackdawlanding/platform/headers.py
+++ b/src/jackdawlanding/platform/headers.py
@@ -14,6 +14,8 @@
 SERVER_LIMIT = b"Server-Limit"
 # "1" in the answers of a backend server that is leaving.
 SERVER_LEAVING = b"Server-Leaving"
+# Rises each time that the store is restored from a copy; in all of its answers.
+STORE_ERA = b"Store-Era"
 
 # The lower-case names of what callers and backend servers tell each other: no
 # ``Connection`` option takes these out of a message.
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -5,6 +5,7 @@
 import unittest
 
 from jackdawlanding.platform import documents, targets
+from jackdawlanding.wire import http
 from tests import configurations, oddentries
 
 
@@ -220,6 +221,14 @@
         page = documents.decode_page(encode({"items": [item], "at": 9}))
         self.assertEqual(page.items[0].value, b"")
 
+    def test_the_era_of_an_answer(self):
+        for headers, era in (((), 0), (((b"store-era", b"12"),), 12)):
+            response = http.Response(status=200, headers=headers)
+            self.assertEqual(documents.decode_era(response), era)
+        response = http.Response(status=200, headers=((b"Store-Era", b"-1"),))
+        with self.assertRaises(documents.DocumentError):
+            documents.decode_era(response)
+
     def test_malformed_answers_are_refused(self):
         for data in (
             b"",
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -30,6 +30,7 @@
     "X-Not-Executed",
     "Server-Limit",
     "Server-Leaving",
+    "Store-Era",
     "kv-watch",
     "kv-range",
     "kv-key",
--- a/tests/test_storereader.py
+++ b/tests/test_storereader.py
@@ -76,6 +76,7 @@
         self.is_busy = False
         self.items = {}
         self.revision = 10
+        self.era = 0
         self.sound = set(entries)
         for name in entries:
             entry = backendservers.make_entry(
@@ -111,9 +112,11 @@
         delay = ANSWER_SECONDS
         if not is_range and not document["events"]:
             delay += int(values["waitMs"]) / 1000
-        response = http.Response(status=200, body=json.dumps(document).encode())
-        if fault == "gone":
-            response = http.Response(status=410)
+        response = http.Response(
+            status=410 if fault == "gone" else 200,
+            headers=((b"Store-Era", str(self.era).encode()),) if self.era else (),
+            body=json.dumps(document).encode(),
+        )
 
         def answer():
             self.is_busy = False
@@ -156,7 +159,7 @@
             decode=documents.decode_configuration, log=logs.Log()
         )
         self.metrics = metrics.Metrics()
-        reader = storereader.StoreReader(
+        self.reader = storereader.StoreReader(
             loop=self.loop,
             address=("127.0.0.1", 1),
             local_host="127.0.0.9",
@@ -165,8 +168,8 @@
             log=logs.Log(),
             broadcast=lambda position: None,
         )
-        reader._fetcher = self.store
-        reader.start()
+        self.reader._fetcher = self.store
+        self.reader.start()
 
     def check_known(self):
         """Check that all sound entries are known, and a new configuration in time."""
@@ -183,6 +186,15 @@
             reads = sum(at - start < 1.0 for at in read_at[number:])
             self.assertLessEqual(reads, READS_PER_SECOND)
 
+    def test_the_log_tells_when_the_store_is_in_another_era(self):
+        self.start(entries=["i-1"])
+        for era in (3, 4):
+            self.store.era = era
+            with self.assertLogs("jackdaw.mesh") as logged:
+                self.loop.run(CONFIGURATION_SECONDS)
+            self.assertIn("The store is in another era.", logged.output[0])
+            self.assertEqual(self.reader.era, era)
+
     def test_an_odd_key_at_the_end_of_a_page_stops_no_listing(self):
         """No daemon got ready again after all were killed, and each read the same
         page 200 times a second."""
