Order revisions over the eras of the store

What callers saw: after a restore of the store from a copy, requests reached servers that were leaving, and a route that had been added got 404, until the numbers given out again had passed the last one known. The two daemons that read the store listed it again and again meanwhile.

Cause: revisions of two eras were compared as if they were of one.

Change: a revision holds its era in its upper bits, as a zxid of ZooKeeper does. It is made where the store's answers are decoded, so that records, listings, digests and updates of peers are all ordered by it, in messages as before. A watch that is answered in another era than that of its revision confirms nothing and is followed by a listing; a listing that spans two eras begins again; what a store confirmed before it was restored counts no more.

Two waits of test_mesh_updates compared plain numbers and would always have been over; they wait for the era, too.

--- a/src/jackdawlanding/decisions/directory.py
+++ b/src/jackdawlanding/decisions/directory.py
@@ -7,7 +7,7 @@
 import bisect
 import typing
 
-from jackdawlanding.decisions import occupants, readers
+from jackdawlanding.decisions import occupants, readers, revisions
 
 # How long removals are remembered: the longest that a daemon may lag behind the
 # store.
@@ -309,7 +309,12 @@
         return applied
 
     def confirm(self, *, revision, at):
-        """Record that the store confirmed ``revision`` at local time ``at``."""
+        """Record that the store confirmed ``revision`` at local time ``at``.
+
+        What a store confirmed before it was restored no longer holds.
+        """
+        if revisions.get_era(revision) < revisions.get_era(self.complete_revision):
+            return
         self.complete_revision = max(self.complete_revision, revision)
         self.confirmed_at = max(self.confirmed_at, at)
 
--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -8,7 +8,7 @@
 import socket
 import time
 
-from jackdawlanding.decisions import routes
+from jackdawlanding.decisions import revisions, routes
 from jackdawlanding.mesh import (
     callers,
     dispatcher,
@@ -257,6 +257,7 @@
 
     def _make_metrics(self):
         notice = self.executor.notice.current
+        complete_revision = self.fleet_state.directory.complete_revision
         gauges = {
             "connections": self.caller_server.connection_count,
             "unsent_bytes": self.loop.unsent_bytes,
@@ -274,7 +275,8 @@
                 self.fleet_state.directory.contested_count
             ),
             "links_unreachable": self.links.unreachable_count,
-            "directory_revision": self.fleet_state.directory.complete_revision,
+            "directory_revision": revisions.get_number(complete_revision),
+            "directory_era": revisions.get_era(complete_revision),
             "store_era": self.reader.era,
             "knowledge_age_seconds": round(
                 min(1e6, self.fleet_state.get_age(time.monotonic())), 3
--- a/src/jackdawlanding/mesh/gossip.py
+++ b/src/jackdawlanding/mesh/gossip.py
@@ -15,6 +15,7 @@
 from jackdawlanding.decisions import (
     directory,
     quarantine,
+    revisions,
     routes,
     trees,
     validation,
@@ -142,7 +143,8 @@
                 "directory",
                 "A backend server changed.",
                 instance=instance,
-                revision=revision,
+                era=revisions.get_era(revision),
+                revision=revisions.get_number(revision),
                 state=_describe(backend),
                 source=source,
             )
--- a/src/jackdawlanding/mesh/listings.py
+++ b/src/jackdawlanding/mesh/listings.py
@@ -2,6 +2,8 @@
 
 import enum
 
+from jackdawlanding.decisions import revisions
+
 # Pages in a row that bring a listing no further, before it ends in part.
 MAXIMUM_STALLS = 3
 # The design size, 9,600 backend servers, takes 192 pages of 50.
@@ -11,9 +13,14 @@
 
 
 class Step(enum.Enum):
-    """What follows a page: the next one, one after a pause, or the end."""
+    """What follows a page: the next one, one after a pause, or the end.
+
+    With ``RESTORED`` the page is of another era than the first one, and all pages are
+    read again.
+    """
 
     NEXT = enum.auto()
+    RESTORED = enum.auto()
     STALLED = enum.auto()
     COMPLETE = enum.auto()
     PARTIAL = enum.auto()
@@ -38,6 +45,8 @@
         """Record a ``documents.Page`` and move on; return the :class:`Step`."""
         if not self._pages:
             self.revision = page.revision
+        if revisions.get_era(page.revision) != revisions.get_era(self.revision):
+            return Step.RESTORED
         self._pages += 1
         keys = [item.key for item in page.items]
         self.keys.update(keys)
--- a/src/jackdawlanding/mesh/storereader.py
+++ b/src/jackdawlanding/mesh/storereader.py
@@ -4,7 +4,7 @@
 import random
 import time
 
-from jackdawlanding.decisions import readers
+from jackdawlanding.decisions import readers, revisions
 from jackdawlanding.mesh import fetching, listings
 from jackdawlanding.platform import documents, targets
 
@@ -110,14 +110,15 @@
     def _request_changes(self):
         is_assigned_reader = self._position < readers.READER_COUNT
         seconds = readers.WATCH_SECONDS if is_assigned_reader else 0.0
-        target = targets.format_watch(
-            ROOT_PREFIX,
-            revision=max(
-                self._fleet_state.directory.complete_revision, self._partial_revision
-            ),
+        since = max(
+            self._fleet_state.directory.complete_revision, self._partial_revision
+        )
+        target = targets.format_watch(ROOT_PREFIX, revision=since, seconds=seconds)
+        self._send_read(
+            target,
+            lambda page: self._handle_events(page, since=since),
             seconds=seconds,
         )
-        self._send_read(target, self._handle_events, seconds=seconds)
 
     def _send_read(self, target, handle_page, *, seconds=0.0):
         self._sent_at = time.monotonic()
@@ -133,15 +134,13 @@
         is_gone = response is not None and response.status == STATUS_GONE
         if is_gone and self._listing is None:
             self._log.note("store", "The history is gone; all is read again.")
-            self._gone_revision = self._fleet_state.directory.complete_revision
-            self._relist_at = 0.0
-            self._pause(PAGE_INTERVAL_SECONDS)
+            self._list_anew()
             return
         page = None
         if response is not None and response.status == STATUS_OK:
             try:
                 self._record_era(documents.decode_era(response))
-                page = documents.decode_page(response.body)
+                page = documents.decode_page(response.body, era=self.era)
             except documents.DocumentError as error:
                 logger.warning("store: %s", error)
         if page is None:
@@ -180,6 +179,16 @@
             self._apply(item)
         self._LISTING_STEPS[self._listing.add(page)](self)
 
+    def _list_anew(self):
+        """Read all again: changes after what is known can't be read."""
+        self._gone_revision = self._fleet_state.directory.complete_revision
+        self._relist_at = 0.0
+        self._pause(PAGE_INTERVAL_SECONDS)
+
+    def _restart_listing(self):
+        self._listing = None
+        self._pause(PAGE_INTERVAL_SECONDS)
+
     def _continue_listing(self):
         self._pause(PAGE_INTERVAL_SECONDS)
 
@@ -225,15 +234,20 @@
 
     _LISTING_STEPS = {
         listings.Step.NEXT: _continue_listing,
+        listings.Step.RESTORED: _restart_listing,
         listings.Step.STALLED: _record_stall,
         listings.Step.COMPLETE: _end_listing,
         listings.Step.PARTIAL: _end_listing_in_part,
     }
 
-    def _handle_events(self, page):
+    def _handle_events(self, page, *, since):
         for item in page.items:
             self._apply(item)
-        self._confirm(page.revision)
+        if revisions.get_era(page.revision) == revisions.get_era(since):
+            self._confirm(page.revision)
+        else:
+            self._log.note("store", "The store was restored; all is read again.")
+            self._list_anew()
 
     def _confirm(self, revision):
         if self._partial_revision:
--- a/src/jackdawlanding/platform/documents.py
+++ b/src/jackdawlanding/platform/documents.py
@@ -8,7 +8,7 @@
 import re
 import typing
 
-from jackdawlanding.decisions import directory, routes, validation
+from jackdawlanding.decisions import directory, revisions, routes, validation
 from jackdawlanding.platform import headers
 
 CONFIGURATION_KEY = "op/config"
@@ -68,7 +68,8 @@
 class Page(typing.NamedTuple):
     """An answer of the store: its items, and the store's revision at that time.
 
-    ``has_more`` says that a listing continues after the last item.
+    The revisions are those of :mod:`revisions`, with their era. ``has_more`` says that
+    a listing continues after the last item.
     """
 
     items: tuple[Item, ...]
@@ -87,29 +88,31 @@
     return int(value or 0)
 
 
-def decode_page(data):
+def decode_page(data, *, era=0):
     """Return the :class:`Page` that a range read or a watch answered.
 
+    :param era: the era of the store that gave the answer.
     :raises DocumentError: the data is not such an answer.
     """
     with _decoding("the store's answer"):
         document = json.loads(data.decode(errors="surrogateescape"))
         entries = document["events"] if "events" in document else document["items"]
         return Page(
-            items=tuple(_decode_item(entry) for entry in entries),
-            revision=int(document["at"]),
+            items=tuple(_decode_item(entry, era) for entry in entries),
+            revision=revisions.make(era=era, number=int(document["at"])),
             has_more=bool(document.get("hasMore")),
         )
 
 
-def _decode_item(entry):
+def _decode_item(entry, era):
     value = None
     if not entry.get("removed"):
         try:
             value = base64.b64decode(entry["value"], validate=True)
         except (binascii.Error, TypeError, ValueError):
             value = b""
-    return Item(key=str(entry["key"]), revision=int(entry["revision"]), value=value)
+    revision = revisions.make(era=era, number=int(entry["revision"]))
+    return Item(key=str(entry["key"]), revision=revision, value=value)
 
 
 def get_instance(key):
--- a/src/jackdawlanding/platform/targets.py
+++ b/src/jackdawlanding/platform/targets.py
@@ -2,6 +2,8 @@
 
 import urllib.parse
 
+from jackdawlanding.decisions import revisions
+
 READINESS_PATH = "/jackdawlanding/readiness"
 _RANGE_PATH = "/jackdawlanding/kv-range"
 _WATCH_PATH = "/jackdawlanding/kv-watch"
@@ -23,9 +25,11 @@
 def format_watch(prefix, *, revision, seconds):
     """Return the target that waits for changes to keys with a prefix.
 
-    :param revision: wait for changes after this revision of the store.
+    :param revision: wait for changes after this revision of the store; the store is
+        asked for the number alone, and its answer tells the era.
     :param seconds: the longest wait, at most ``MAXIMUM_WAIT_MILLIS``.
     """
     millis = min(MAXIMUM_WAIT_MILLIS, max(1, int(seconds * 1000)))
-    query = {"prefix": prefix, "after": revision, "waitMs": millis}
+    number = revisions.get_number(revision)
+    query = {"prefix": prefix, "after": number, "waitMs": millis}
     return f"{_WATCH_PATH}?{urllib.parse.urlencode(query)}"
--- a/tests/stores.py
+++ b/tests/stores.py
@@ -7,6 +7,7 @@
 import time
 import urllib.parse
 
+from jackdawlanding.decisions import revisions
 from tests import servers
 
 
@@ -14,12 +15,13 @@
     """Serves items with revisions over HTTP: ranges and watches.
 
     ``failure`` is a status that all requests get, ``None`` for proper answers, and
-    ``page_size`` the most items of a page.
+    ``page_size`` the most items of a page. ``era`` rises with each restore from a copy.
     """
 
     def __init__(self):
         self.revision = 10
         self.history_from = 0
+        self.era = 1
         self.items = {}
         self.events = []
         self.calls = []
@@ -72,6 +74,24 @@
             self.changed.notify_all()
             return self.revision
 
+    @property
+    def full_revision(self):
+        """The revision as daemons hold it, with its era."""
+        return revisions.make(era=self.era, number=self.revision)
+
+    def copy(self):
+        """Return what :meth:`restore` takes."""
+        with self.changed:
+            return self.revision, dict(self.items), list(self.events)
+
+    def restore(self, copy):
+        """Go back to a copy: what was written since then is lost."""
+        with self.changed:
+            self.revision, items, events = copy
+            self.items, self.events = dict(items), list(events)
+            self.era += 1
+            self.changed.notify_all()
+
     def forget_history(self):
         with self.changed:
             self.history_from = self.revision
@@ -82,13 +102,17 @@
         values = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         self.calls.append(path)
         if self.failure is not None:
-            servers.send(handler, self.failure, b"{}")
+            self._send(handler, self.failure, {})
         elif path.endswith("kv-range"):
             self._send_range(handler, values)
         elif path.endswith("kv-watch"):
             self._send_watch(handler, values)
         else:
-            servers.send(handler, 404, b"{}")
+            self._send(handler, 404, {})
+
+    def _send(self, handler, status, document):
+        headers = {"Store-Era": str(self.era)}
+        servers.send(handler, status, json.dumps(document).encode(), headers)
 
     def _send_range(self, handler, values):
         with self.changed:
@@ -102,25 +126,24 @@
                 "hasMore": len(items) > self.page_size,
                 "at": self.revision,
             }
-        servers.send(handler, 200, json.dumps(page).encode())
+        self._send(handler, 200, page)
 
     def _send_watch(self, handler, values):
-        after = int(values["after"])
+        after, era = int(values["after"]), self.era
         end = time.monotonic() + int(values["waitMs"]) / 1000
         with self.changed:
             while True:
-                if after < self.history_from:
+                if self.era != era:
+                    # A watch that was waiting is cut.
+                    handler.close_connection = True
+                    return
+                if after < self.history_from or after > self.revision:
                     break
                 events = [event for event in self.events if event["revision"] > after]
                 remaining = end - time.monotonic()
                 if events or remaining <= 0:
                     break
                 self.changed.wait(remaining)
-            page = {
-                "events": events if after >= self.history_from else [],
-                "at": self.revision,
-            }
-            is_history_gone = after < self.history_from
-        servers.send(
-            handler, 410 if is_history_gone else 200, json.dumps(page).encode()
-        )
+            is_history_gone = not self.history_from <= after <= self.revision
+            page = {"events": [] if is_history_gone else events, "at": self.revision}
+        self._send(handler, 410 if is_history_gone else 200, page)
--- a/tests/test_fuzz_gossip.py
+++ b/tests/test_fuzz_gossip.py
@@ -7,6 +7,7 @@
 import hypothesis
 from hypothesis import stateful, strategies
 
+from jackdawlanding.decisions import revisions
 from tests import test_gossip
 
 EXAMPLES = int(os.environ.get("JACKDAW_FUZZ_EXAMPLES", "60"))
@@ -18,34 +19,54 @@
 class GossipMachine(stateful.RuleBasedStateMachine):
     """A store with its full history, and daemons that receive it in random ways.
 
-    They list, watch, receive updates, lose updates and restart.
+    They list, watch, receive updates, lose updates and restart. The store is restored
+    from copies, each of which begins an era.
     """
 
     def __init__(self):
         super().__init__()
         self.network = test_gossip.Network(NAMES)
         self.states = {0: frozenset()}
+        # The number, the instance and what became of it, of each change in the era.
         self.events = []
-        self.revision = 0
+        self.era = 0
+        self.number = 0
+
+    @property
+    def revision(self):
+        return self.make_revision(self.number)
+
+    def make_revision(self, number):
+        return revisions.make(era=self.era, number=number)
+
+    @stateful.precondition(lambda self: self.number)
+    @stateful.rule(lost=strategies.integers(0, 6))
+    def restore(self, lost):
+        before, self.era = self.era, self.era + 1
+        self.number = max(1, self.number - lost)
+        self.events = [event for event in self.events if event[0] <= self.number]
+        for number in range(self.number + 1):
+            known = self.states[revisions.make(era=before, number=number)]
+            self.states[self.make_revision(number)] = known
 
     @stateful.rule(number=NUMBERS, is_there=strategies.booleans())
     def change(self, number, is_there):
         state = set(self.states[self.revision])
         (state.add if is_there else state.discard)(f"i-{number}")
-        self.revision += 1
-        self.events.append((self.revision, number, is_there))
+        self.number += 1
+        self.events.append((self.number, number, is_there))
         self.states[self.revision] = frozenset(state)
 
-    @stateful.precondition(lambda self: self.revision)
+    @stateful.precondition(lambda self: self.number)
     @stateful.rule(name=DAEMONS)
     def list_all(self, name):
         fleet_state = self.network.get_state(name)
         latest = {}
-        for revision, number, is_there in self.events:
-            latest[number] = (revision, is_there)
-        for number, (revision, is_there) in latest.items():
+        for at, number, is_there in self.events:
+            latest[number] = (at, is_there)
+        for number, (at, is_there) in latest.items():
             if is_there:
-                self.apply_record(fleet_state, revision, number, True)
+                self.apply_record(fleet_state, self.make_revision(at), number, True)
         fleet_state.remove_unlisted(
             names=set(self.states[self.revision]),
             revision=self.revision,
@@ -56,11 +77,12 @@
     @stateful.rule(name=DAEMONS)
     def watch(self, name):
         fleet_state = self.network.get_state(name)
-        if not fleet_state.directory.complete_revision:
+        since = fleet_state.directory.complete_revision
+        if not since or revisions.get_era(since) != self.era:
             return
-        for revision, number, is_there in self.events:
-            if revision > fleet_state.directory.complete_revision:
-                self.apply_record(fleet_state, revision, number, is_there)
+        for at, number, is_there in self.events:
+            if self.make_revision(at) > since:
+                self.apply_record(fleet_state, self.make_revision(at), number, is_there)
         fleet_state.directory.confirm(revision=self.revision, at=time.monotonic())
 
     @stateful.rule(sender=DAEMONS, receiver=DAEMONS)
--- a/tests/test_mesh_updates.py
+++ b/tests/test_mesh_updates.py
@@ -41,7 +41,7 @@
                 host="127.0.1.2", state="odd"
             )
             mesh.store.put("servers/i-9", entry)
-            revision = mesh.store.revision
+            revision = mesh.store.full_revision
             meshes.wait_until(
                 lambda: all(
                     member.daemon.fleet_state.directory.complete_revision >= revision
@@ -87,7 +87,8 @@
             self.assertEqual(desk.call("/new/1")[0], 200)
             self.assertEqual(desk.call("/pay/1", method="POST")[0], 404)
             older = configurations.make(8, services=("bank",))
-            revision = mesh.store.put("op/config", older)
+            mesh.store.put("op/config", older)
+            revision = mesh.store.full_revision
             meshes.wait_until(
                 lambda: desk.daemon.fleet_state.directory.complete_revision >= revision
             )
--- a/tests/test_storereader.py
+++ b/tests/test_storereader.py
@@ -13,6 +13,7 @@
 
 from hypothesis import given, settings, strategies
 
+from jackdawlanding.decisions import revisions
 from jackdawlanding.mesh import gossip, logs, metrics, storereader
 from jackdawlanding.platform import documents
 from jackdawlanding.wire import http
@@ -24,9 +25,17 @@
 READS_PER_SECOND = 73
 CONFIGURATION_SECONDS = 2.5
 ANSWER_SECONDS = 0.001
+# Removals may be held after a restore, and returns for longer.
+SETTLE_SECONDS = 12.0
 ODD = "\ud83d"
 
 
+def make_entry(**fields):
+    return backendservers.make_entry(
+        service="desk", address="127.0.0.9:80", slots=1, **fields
+    )
+
+
 class Loop:
     """An event loop in virtual time."""
 
@@ -79,10 +88,7 @@
         self.era = 0
         self.sound = set(entries)
         for name in entries:
-            entry = backendservers.make_entry(
-                service="desk", address="127.0.0.9:80", slots=1
-            )
-            self.put(f"servers/{name}", entry)
+            self.put(f"servers/{name}", make_entry())
         for name in odd_names:
             self.put(f"servers/{name}", {"note": "backup"})
         self.configure(1)
@@ -92,6 +98,23 @@
         data = base64.b64encode(json.dumps(value).encode()).decode()
         self.items[key] = {"key": key, "value": data, "revision": self.revision}
 
+    def remove(self, key):
+        self.revision += 1
+        self.items[key] = {"key": key, "revision": self.revision, "removed": True}
+
+    def write_notes(self, count):
+        """Change a key that nothing uses."""
+        for _ in range(count):
+            self.put("op/notes", {})
+
+    def copy(self):
+        return dict(self.items), self.revision
+
+    def restore(self, copy):
+        items, self.revision = copy
+        self.items = dict(items)
+        self.era += 1
+
     def configure(self, version):
         route = configurations.make_route("look", service="desk")
         self.put("op/config", configurations.make(version, route, services=("desk",)))
@@ -109,11 +132,12 @@
         is_range = path.endswith("kv-range")
         make = self._make_range if is_range else self._make_events
         document = make(values, fault)
+        is_lost = not is_range and int(values["after"]) > self.revision
         delay = ANSWER_SECONDS
-        if not is_range and not document["events"]:
+        if not is_range and not document["events"] and not is_lost:
             delay += int(values["waitMs"]) / 1000
         response = http.Response(
-            status=410 if fault == "gone" else 200,
+            status=410 if fault == "gone" or is_lost else 200,
             headers=((b"Store-Era", str(self.era).encode()),) if self.era else (),
             body=json.dumps(document).encode(),
         )
@@ -126,7 +150,11 @@
 
     def _make_range(self, values, fault):
         after = "" if fault == "first-page-again" else values.get("after", "")
-        keys = sorted(key for key in self.items if key > after)
+        keys = sorted(
+            key
+            for key, item in self.items.items()
+            if key > after and "removed" not in item
+        )
         listed = [self.items[key] for key in keys[: self.page]]
         if fault == "empty":
             listed = []
@@ -171,14 +199,14 @@
         self.reader._fetcher = self.store
         self.reader.start()
 
-    def check_known(self):
+    def check_known(self, *, version=9):
         """Check that all sound entries are known, and a new configuration in time."""
         known = set(self.fleet_state.directory.list_instances())
         self.assertEqual(known, self.store.sound)
         self.assertTrue(self.fleet_state.is_ready)
-        self.store.configure(9)
+        self.store.configure(version)
         self.loop.run(CONFIGURATION_SECONDS)
-        self.assertEqual(self.fleet_state.configuration_version, 9)
+        self.assertEqual(self.fleet_state.configuration_version, version)
 
     def check_reads(self):
         read_at = self.store.read_at
@@ -195,6 +223,102 @@
             self.assertIn("The store is in another era.", logged.output[0])
             self.assertEqual(self.reader.era, era)
 
+    def start_restored(self):
+        """Start, and restore the store from a copy that lacks ten revisions."""
+        self.start(entries=["i-1", "i-2"])
+        self.store.era = 1
+        self.loop.run(CONFIGURATION_SECONDS)
+        copy = self.store.copy()
+        self.store.write_notes(10)
+        self.loop.run(CONFIGURATION_SECONDS)
+        self.store.restore(copy)
+
+    def test_a_leave_written_after_a_restore_counts(self):
+        """Its revision was lower than that of the known entry."""
+        for lost in (0, 5):
+            with self.subTest(lost=lost):
+                self.start(entries=["i-1"])
+                copy = self.store.copy()
+                self.store.write_notes(lost)
+                self.store.put("servers/i-1", make_entry())
+                self.loop.run(CONFIGURATION_SECONDS)
+                self.store.restore(copy)
+                self.store.put("servers/i-1", make_entry(state="draining"))
+                self.loop.run(CONFIGURATION_SECONDS)
+                self.assertTrue(self.fleet_state.directory.get("i-1").is_draining)
+
+    def test_a_configuration_is_read_though_numbers_passed_the_last_one_read(self):
+        """A watch from before the restore went on behind it."""
+        self.start_restored()
+        self.store.configure(5)
+        self.store.write_notes(20)
+        self.loop.run(CONFIGURATION_SECONDS)
+        self.assertEqual(self.fleet_state.configuration_version, 5)
+        self.check_known()
+
+    def test_a_restored_store_is_listed_once(self):
+        """Each watch went on from a revision that it no longer had."""
+        self.start_restored()
+        self.loop.run(CONFIGURATION_SECONDS)
+        known = self.fleet_state.directory.complete_revision
+        self.assertEqual(revisions.get_era(known), 2)
+        reads = len(self.store.read_at)
+        self.loop.run(10)
+        self.assertLess(len(self.store.read_at) - reads, 10)
+
+    def test_a_listing_begins_again_where_the_store_is_restored_meanwhile(self):
+        self.start(entries=["i-1", "i-2", "i-3", "i-4"], page=1)
+        copy = self.store.copy()
+        while len(self.store.read_at) < 3:
+            self.loop.run(0.001)
+        self.store.restore(copy)
+        self.store.remove("servers/i-1")
+        self.store.sound.remove("i-1")
+        self.loop.run(CONFIGURATION_SECONDS)
+        self.check_known()
+
+    @settings(max_examples=EXAMPLES, derandomize=True, deadline=None)
+    @given(
+        steps=strategies.lists(
+            strategies.one_of(
+                strategies.sampled_from(("copy", "restore", "configure")),
+                strategies.integers(1, 12),
+                strategies.floats(0.05, 3.0),
+                strategies.sampled_from(("i-1", "i-2", "i-3")),
+            ),
+            max_size=30,
+        )
+    )
+    def test_any_sequence_of_restores_ends_with_what_the_store_holds(self, steps):
+        self.start(entries=["i-1", "i-2", "i-3"])
+        copy, version = self.store.copy(), 1
+        for step in steps:
+            if step == "copy":
+                copy = self.store.copy()
+            elif step == "restore":
+                self.store.restore(copy)
+            elif step == "configure":
+                version += 1
+                self.store.configure(version)
+            elif isinstance(step, int):
+                self.store.write_notes(step)
+            elif isinstance(step, float):
+                self.loop.run(step)
+            elif "removed" in self.store.items[f"servers/{step}"]:
+                self.store.put(f"servers/{step}", make_entry())
+            else:
+                self.store.remove(f"servers/{step}")
+        self.store.configure(version)
+        self.loop.run(SETTLE_SECONDS)
+        self.store.sound = {
+            key.removeprefix("servers/")
+            for key, item in self.store.items.items()
+            if key.startswith("servers/") and "removed" not in item
+        }
+        self.assertEqual(self.fleet_state.configuration_version, version)
+        self.check_known(version=version + 1)
+        self.check_reads()
+
     def test_an_odd_key_at_the_end_of_a_page_stops_no_listing(self):
         """No daemon got ready again after all were killed, and each read the same
         page 200 times a second."""
