Hold what a restored store may take back

Cause: the copy was taken for news. It shows entries as they were some seconds before: removed servers are back, draining ones are ready, a new start is an old one, and what registered since is missing. Also, a removal by listing is no event: a peer that was told of the revision before it, and reads on from there, never learns of it.

Change: removals are held when the store enters an era, as after an outage. So is an entry that goes back behind what is known of its instance: back after its removal, ready after it drained, or born earlier. It counts once it is written anew in the era, or after a lease (6 s). Peers are told of no revision at or after which a held change may have come about.

--- a/src/jackdawlanding/decisions/directory.py
+++ b/src/jackdawlanding/decisions/directory.py
@@ -15,6 +15,8 @@
 # A record that expired while the store was unreachable is registered again within
 # this time after the store's return, unless its backend server is gone.
 REGISTRATION_SECONDS = 1.8
+# Longer than three heartbeats, after which an entry expires that isn't written anew.
+LEASE_SECONDS = 6.0
 # The store was unreachable if no daemon has reached it for this long: records expire
 # after three missed heartbeats, and other readers take over sooner than this.
 OUTAGE_SECONDS = 3.0
@@ -42,13 +44,27 @@
 class Record(typing.NamedTuple):
     """The newest known state of an instance.
 
-    ``backend`` is ``None`` once the instance is removed. ``stored_at`` is when
-    the record was put, in seconds on the local clock.
+    ``backend`` is ``None`` once the instance is removed, and ``former`` what it was
+    before that. ``stored_at`` is when the record was put, in seconds on the local
+    clock.
     """
 
     revision: int
     backend: Backend | None
     stored_at: float
+    former: Backend | None = None
+
+
+class HeldChange(typing.NamedTuple):
+    """A change that the store may take back: it counts from ``due`` on.
+
+    ``since`` is the lowest revision at which it may have come about.
+    """
+
+    revision: int
+    backend: Backend | None
+    since: int
+    due: float
 
 
 class Directory:
@@ -81,26 +97,25 @@
         # The addresses that several records of known services name.
         self._contested = set()
         self._by_service = {}
-        self._held_removals = {}
+        # The ``HeldChange`` of each instance that has one.
+        self._held_changes = {}
+        # Until when removals are held, and the latest era of the store.
         self._hold_until = float("-inf")
+        self._era = 0
 
     @property
     def shareable_revision(self):
         """Return the revision that other daemons may treat as complete.
 
-        It stays below held removals, since these are not sent to peers.
+        It stays below held changes, since these are not sent to peers.
         """
-        revisions = self._held_removals.values()
-        return (
-            min(self.complete_revision, min(revisions) - 1)
-            if revisions
-            else self.complete_revision
-        )
+        befores = [held.since - 1 for held in self._held_changes.values()]
+        return min([self.complete_revision, *befores])
 
     @property
     def shareable_confirmed_at(self):
         """Return when the store confirmed ``shareable_revision``."""
-        if not self._held_removals:
+        if not self._held_changes:
             return self.confirmed_at
         return min(self.confirmed_at, self._hold_until - REGISTRATION_SECONDS)
 
@@ -126,9 +141,9 @@
         return record.revision if record else 0
 
     @property
-    def held_removals(self):
-        """Return the instances whose removal is held."""
-        return self._held_removals.keys()
+    def held_changes(self):
+        """Return the held changes, by their instances."""
+        return self._held_changes
 
     def list_instances(self):
         """Return the names of all instances that have a backend."""
@@ -244,22 +259,65 @@
     def put(self, *, now, instance, revision, backend):
         """Store a record unless a newer one is stored.
 
-        After an outage of the store, a removal is held: it is not stored until
-        :meth:`apply_held_removals`.
+        After an outage or a restore of the store, what it may take back is held: it is
+        not stored until :meth:`apply_held_changes`.
 
         :returns: whether the backend changed, other than in ``warm_seconds``.
         """
+        return self._put(now, instance, revision, backend, since=revision)
+
+    def _put(self, now, instance, revision, backend, *, since):
         known = self._records.get(instance)
         if known and known.revision >= revision:
             return False
-        if backend is None and known and known.backend and now < self._hold_until:
-            self._held_removals[instance] = revision
+        held = self._held_changes.get(instance)
+        if held and held.revision >= revision:
             return False
-        self._held_removals.pop(instance, None)
+        self._enter_era(now, revision)
+        if held:
+            since = min(since, held.since)
+        change = HeldChange(revision=revision, backend=backend, since=since, due=now)
+        if known:
+            change = change._replace(due=self._compute_due(now, known, held, change))
+        if change.due > now:
+            self._held_changes[instance] = change
+            return False
+        self._held_changes.pop(instance, None)
+        return self._replace_record(now, instance, change)
+
+    def _enter_era(self, now, revision):
+        """Hold removals if the store was restored: entries are registered again."""
+        era = revisions.get_era(revision)
+        if era > self._era:
+            self._era = era
+            if self._records:
+                self._hold_until = now + REGISTRATION_SECONDS
+
+    def _compute_due(self, now, known, held, change):
+        """Return when a change of a known record counts.
+
+        A copy may have an entry as it was before what is known. Such an entry expires,
+        or is written anew; then its instance changes twice in the era.
+        """
+        if change.backend is None:
+            return self._hold_until if known.backend else now
+        era = revisions.get_era(change.revision)
+        is_first = revisions.get_era((held or known).revision) < era
+        if is_first and _goes_back(known, change.backend):
+            return now + LEASE_SECONDS
+        return now
+
+    def _replace_record(self, now, instance, change):
+        known = self._records.get(instance)
         before = known.backend if known else None
-        record = Record(revision=revision, backend=backend, stored_at=now)
+        record = Record(
+            revision=change.revision,
+            backend=change.backend,
+            stored_at=now,
+            former=before if change.backend is None else None,
+        )
         self._store(instance, known, record)
-        return _clear_warmth(before) != _clear_warmth(backend)
+        return _clear_warmth(before) != _clear_warmth(change.backend)
 
     def remove_unlisted(self, *, now, names, revision):
         """Remove the instances that a full listing at ``revision`` does not name.
@@ -269,13 +327,17 @@
         missing = [
             name
             for name, record in self._records.items()
-            if record.backend and name not in names and record.revision <= revision
+            if name not in names
+            and (record.backend or name in self._held_changes)
+            and record.revision <= revision
         ]
         self.history_from = max(self.history_from, revision)
+        # It may be any change after what was known completely.
+        since = min(revision, self.complete_revision + 1)
         return [
             name
             for name in missing
-            if self.put(now=now, instance=name, revision=revision, backend=None)
+            if self._put(now, name, revision, None, since=since)
         ]
 
     def record_store_contact(self, *, now):
@@ -294,19 +356,18 @@
         self._hold_until = now + REGISTRATION_SECONDS
         return 0.0 if was_holding else seconds
 
-    def apply_held_removals(self, *, now):
-        """Apply held removals that are due, and forget old removals.
+    def apply_held_changes(self, *, now):
+        """Apply held changes that are due, and forget old removals.
 
-        :returns: the names of the instances whose held removal was applied.
+        :returns: the names of the instances whose held change was applied.
         """
-        applied = []
+        due = []
         if now >= self._hold_until:
-            held, self._held_removals = self._held_removals, {}
-            for instance, revision in held.items():
-                self.put(now=now, instance=instance, revision=revision, backend=None)
-                applied.append(instance)
+            due = [name for name, held in self._held_changes.items() if now >= held.due]
+        for name in due:
+            self._replace_record(now, name, self._held_changes.pop(name))
         self._forget_removals(now)
-        return applied
+        return due
 
     def confirm(self, *, revision, at):
         """Record that the store confirmed ``revision`` at local time ``at``.
@@ -437,6 +498,17 @@
                 self._by_service[backend.service] = (*others, backend)
 
 
+def _goes_back(known, backend):
+    """Return whether an entry is from before what a record says of its instance.
+
+    A backend server that drains, or that was removed, doesn't get ready again.
+    """
+    last = known.backend or known.former
+    if last is None or backend.born == last.born:
+        return known.backend is None or (last.is_draining and not backend.is_draining)
+    return backend.born < last.born
+
+
 def _get_host(backend):
     return backend and backend.host
 
--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -270,7 +270,7 @@
             "host_paced_kinds": len(self.executor.pacing_limits.list_limits()),
             "configuration_version": self.fleet_state.configuration_version,
             "directory_hosts": len(self.fleet_state.directory.hosts),
-            "directory_held_removals": len(self.fleet_state.directory.held_removals),
+            "directory_held_changes": len(self.fleet_state.directory.held_changes),
             "directory_contested_addresses": (
                 self.fleet_state.directory.contested_count
             ),
--- a/src/jackdawlanding/mesh/gossip.py
+++ b/src/jackdawlanding/mesh/gossip.py
@@ -123,7 +123,7 @@
 
     def put(self, *, instance, revision, backend, source):
         """Store one record of the directory; return whether it changed anything."""
-        held = set(self.directory.held_removals)
+        held = set(self.directory.held_changes)
         contested_count = self.directory.contested_count
         changed = self.directory.put(
             now=time.monotonic(), instance=instance, revision=revision, backend=backend
@@ -153,7 +153,7 @@
 
     def remove_unlisted(self, *, names, revision, source):
         """Remove the instances that a complete listing does not name."""
-        held = set(self.directory.held_removals)
+        held = set(self.directory.held_changes)
         removed = self.directory.remove_unlisted(
             now=time.monotonic(), names=names, revision=revision
         )
@@ -167,11 +167,14 @@
             )
             self._notify("directory")
 
-    def apply_held_removals(self):
-        """Apply removals that were held back after a store outage."""
-        for instance in self.directory.apply_held_removals(now=time.monotonic()):
+    def apply_held_changes(self):
+        """Apply changes that were held after an outage or a restore of the store."""
+        for instance in self.directory.apply_held_changes(now=time.monotonic()):
             self._log.note(
-                "directory", "An expired entry is removed.", instance=instance
+                "directory",
+                "A held change is applied.",
+                instance=instance,
+                state=_describe(self.directory.get(instance)),
             )
             self._notify("directory")
 
@@ -238,10 +241,15 @@
         return any(is_new)
 
     def _note_held(self, before, source):
-        for instance in self.directory.held_removals - before:
-            self._log.note(
-                "directory", "A removal is held.", instance=instance, source=source
-            )
+        for instance, held in self.directory.held_changes.items():
+            if instance not in before:
+                self._log.note(
+                    "directory",
+                    "A change is held.",
+                    instance=instance,
+                    state=_describe(held.backend),
+                    source=source,
+                )
 
     def _try_decode(self, data, *, service):
         try:
--- a/src/jackdawlanding/mesh/storereader.py
+++ b/src/jackdawlanding/mesh/storereader.py
@@ -76,7 +76,7 @@
 
     def _check(self):
         now = time.monotonic()
-        self._fleet_state.apply_held_removals()
+        self._fleet_state.apply_held_changes()
         if self._fetcher.is_busy or now < self._next_read_at:
             return
         if not self._needs_listing:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from jackdawlanding.decisions import directory
+from jackdawlanding.decisions import directory, revisions
 
 HOST = "10.0.0.1"
 
@@ -115,7 +115,7 @@
         self.directory.confirm(revision=2, at=10.5)
         self.assertIsNotNone(self.directory.get("i-1"))
         self.assertEqual(
-            self.directory.apply_held_removals(
+            self.directory.apply_held_changes(
                 now=10.0 + directory.REGISTRATION_SECONDS
             ),
             ["i-1"],
@@ -129,9 +129,9 @@
         self.assertEqual(self.directory.record_store_contact(now=10.0), 5.0)
         self.assertEqual(self.directory.record_store_contact(now=10.3), 0.0)
         put(self.directory, 2, None, now=10.5)
-        self.assertEqual(set(self.directory.held_removals), {"i-1"})
+        self.assertEqual(set(self.directory.held_changes), {"i-1"})
 
-    def test_the_shareable_revision_excludes_held_removals(self):
+    def test_the_shareable_revision_excludes_held_changes(self):
         put(self.directory, 1, make_backend())
         self.directory.confirm(revision=1, at=5.0)
         self.directory.record_store_contact(now=10.0)
@@ -141,7 +141,7 @@
             (self.directory.complete_revision, self.directory.shareable_revision),
             (9, 6),
         )
-        self.directory.apply_held_removals(now=20.0)
+        self.directory.apply_held_changes(now=20.0)
         self.assertEqual(self.directory.shareable_revision, 9)
         self.assertEqual([name for name, _ in self.directory.list_since(6)], ["i-1"])
 
@@ -158,7 +158,7 @@
         self.directory.record_store_contact(now=10.0)
         put(self.directory, 2, None, now=10.5)
         put(self.directory, 3, make_backend(), now=11.0)
-        self.assertEqual(self.directory.apply_held_removals(now=20.0), [])
+        self.assertEqual(self.directory.apply_held_changes(now=20.0), [])
         self.assertIsNotNone(self.directory.get("i-1"))
 
     def test_an_older_instance_at_the_same_address_is_ignored(self):
@@ -245,6 +245,126 @@
         self.assertEqual(self.directory.list_service("desk")[0].instance, "i-2")
 
 
+class RestoreTest(unittest.TestCase):
+    """What a store says that was restored from a copy."""
+
+    def setUp(self):
+        self.directory = directory.Directory()
+        self.put(1, 5, make_backend(born=3))
+        self.put(1, 6, make_backend("i-2", host="10.0.0.2", born=3), instance="i-2")
+
+    def put(self, era, number, backend, *, instance="i-1", now=0.0):
+        revision = revisions.make(era=era, number=number)
+        return put(self.directory, revision, backend, instance=instance, now=now)
+
+    def end_listing(self, era, number, *names, now=0.0):
+        revision = revisions.make(era=era, number=number)
+        gone = self.directory.remove_unlisted(now=now, names=names, revision=revision)
+        self.directory.confirm(revision=revision, at=now)
+        return gone
+
+    def apply_at(self, now):
+        return sorted(self.directory.apply_held_changes(now=now))
+
+    def test_a_server_that_has_left_stays_out_though_a_copy_has_it(self):
+        self.put(1, 9, None)
+        self.assertFalse(self.put(2, 5, make_backend(born=3), now=1.0))
+        self.assertIsNone(self.directory.get("i-1"))
+        # Its entry is removed again.
+        self.put(2, 8, None, now=3.0)
+        self.assertEqual(self.apply_at(100.0), [])
+        self.assertIsNone(self.directory.get("i-1"))
+
+    def test_a_server_keeps_draining_though_a_copy_shows_it_ready(self):
+        self.put(1, 9, make_backend(born=3, is_draining=True))
+        self.assertFalse(self.put(2, 5, make_backend(born=3), now=1.0))
+        self.assertTrue(self.directory.get("i-1").is_draining)
+        self.put(2, 8, make_backend(born=3, is_draining=True), now=2.0)
+        self.assertEqual(self.apply_at(100.0), [])
+        self.assertTrue(self.directory.get("i-1").is_draining)
+
+    def test_a_server_keeps_its_newest_start_though_a_copy_has_an_older_one(self):
+        self.put(1, 9, make_backend(born=8, host="10.0.0.3"))
+        self.put(2, 5, make_backend(born=3), now=1.0)
+        self.assertEqual(self.directory.get("i-1").host, "10.0.0.3")
+
+    def test_a_start_that_only_the_restored_store_knows_counts_at_once(self):
+        for backend in (None, make_backend(born=3, is_draining=True)):
+            self.setUp()
+            self.put(1, 9, backend)
+            self.assertTrue(self.put(2, 8, make_backend(born=4), now=1.0))
+            self.assertEqual(self.directory.get("i-1").born, 4)
+
+    def test_an_entry_that_is_written_anew_counts_at_once(self):
+        self.put(1, 9, None)
+        self.put(2, 5, make_backend(born=3), now=1.0)
+        self.put(2, 8, make_backend(born=3), now=2.0)
+        self.assertIsNotNone(self.directory.get("i-1"))
+
+    def test_what_a_copy_has_counts_once_it_outlived_its_lease(self):
+        self.put(1, 9, None)
+        self.put(2, 5, make_backend(born=3), now=1.0)
+        self.end_listing(2, 7, "i-1", "i-2", now=1.0)
+        self.assertEqual(self.apply_at(1.0 + directory.LEASE_SECONDS - 0.1), [])
+        self.assertEqual(self.apply_at(1.0 + directory.LEASE_SECONDS), ["i-1"])
+        self.assertIsNotNone(self.directory.get("i-1"))
+        self.assertEqual(
+            self.directory.get_revision("i-1"), revisions.make(era=2, number=5)
+        )
+
+    def test_a_held_return_ends_with_a_listing_that_lacks_it(self):
+        self.put(1, 9, None)
+        self.put(2, 5, make_backend(born=3), now=1.0)
+        self.end_listing(2, 9, "i-2", now=4.0)
+        self.assertEqual(self.apply_at(100.0), [])
+        self.assertIsNone(self.directory.get("i-1"))
+
+    def test_a_server_that_a_copy_lacks_stays_until_it_had_time_to_register(self):
+        self.put(2, 5, make_backend(born=3), now=1.0)
+        self.assertEqual(self.end_listing(2, 5, "i-1", now=1.0), [])
+        self.assertIsNotNone(self.directory.get("i-2"))
+        self.put(2, 7, make_backend("i-2", host="10.0.0.2"), instance="i-2", now=2.0)
+        self.assertEqual(self.apply_at(9.0), [])
+        self.setUp()
+        self.put(2, 5, make_backend(born=3), now=1.0)
+        self.end_listing(2, 5, "i-1", now=1.0)
+        due = 1.0 + directory.REGISTRATION_SECONDS
+        self.assertEqual(self.apply_at(due - 0.1), [])
+        self.assertEqual(self.apply_at(due), ["i-2"])
+        self.assertEqual(self.directory.list_instances(), ["i-1"])
+
+    def test_a_late_record_from_before_the_restore_does_not_end_a_hold(self):
+        self.put(2, 5, make_backend(born=3), now=1.0)
+        self.end_listing(2, 5, "i-1", now=1.0)
+        late = make_backend("i-2", host="10.0.0.2", is_draining=True)
+        self.put(1, 9, late, instance="i-2", now=1.1)
+        self.assertEqual(self.apply_at(9.0), ["i-2"])
+
+    def test_peers_are_told_of_a_restore_once_nothing_is_held(self):
+        """A removal by listing is no event: who only reads on never learns of it."""
+        before = revisions.make(era=1, number=6)
+        self.directory.confirm(revision=before, at=0.0)
+        self.put(2, 5, make_backend(born=3), now=1.0)
+        self.end_listing(2, 5, "i-1", now=1.0)
+        self.assertEqual(self.directory.shareable_revision, before)
+        self.apply_at(9.0)
+        after = revisions.make(era=2, number=5)
+        self.assertEqual(self.directory.shareable_revision, after)
+
+    def test_peers_are_told_nothing_of_what_is_held_over_two_restores(self):
+        before = revisions.make(era=1, number=6)
+        self.directory.confirm(revision=before, at=0.0)
+        for era in (2, 3):
+            self.put(era, 5, make_backend(born=3), now=era)
+            self.end_listing(era, 5, "i-1", now=era)
+            self.assertEqual(self.directory.shareable_revision, before)
+
+    def test_a_first_listing_is_held_for_nothing(self):
+        self.directory = directory.Directory()
+        self.put(7, 5, make_backend(born=3))
+        self.assertEqual(self.end_listing(7, 6, now=1.0), ["i-1"])
+
+
 INSTANCES = ("i-1", "i-2", "i-3", "i-4")
 HOSTS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
 PUTS = strategies.tuples(
@@ -281,7 +401,7 @@
             if name not in records or records[name][0] < revision:
                 records[name] = (revision, backend)
             self.check(known, records)
-        known.apply_held_removals(now=1000.0)
+        known.apply_held_changes(now=1000.0)
         self.check(
             known, {name: record for name, record in records.items() if record[1]}
         )
--- a/tests/test_fuzz_gossip.py
+++ b/tests/test_fuzz_gossip.py
@@ -12,6 +12,8 @@
 
 EXAMPLES = int(os.environ.get("JACKDAW_FUZZ_EXAMPLES", "60"))
 NAMES = test_gossip.NAMES
+# Longer than any change is held, and shorter than removals are remembered.
+HOLD_SECONDS = 60.0
 NUMBERS = strategies.integers(1, 5)
 DAEMONS = strategies.sampled_from(NAMES)
 
@@ -96,6 +98,11 @@
         if name != receiver and not is_lost:
             self.network.deliver(name, receiver, update)
 
+    @stateful.rule(name=DAEMONS)
+    def wait(self, name):
+        known = self.network.get_state(name).directory
+        known.apply_held_changes(now=time.monotonic() + HOLD_SECONDS)
+
     @stateful.rule(name=DAEMONS)
     def restart(self, name):
         fresh = test_gossip.Network([name])
@@ -112,6 +119,14 @@
             source="store",
         )
 
+    def teardown(self):
+        if self.number:
+            for name in NAMES:
+                self.list_all(name)
+                self.wait(name)
+                known = self.network.get_state(name).directory
+                assert set(known.list_instances()) == self.states[self.revision]
+
     @stateful.invariant()
     def no_daemon_lacks_what_it_claims_to_have(self):
         for name in NAMES:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -199,7 +199,7 @@
         self.remove("a", 2, 12)
         state = self.network.get_state("a")
         later = time.monotonic() + directory.REMOVAL_SECONDS + 1
-        state.directory.apply_held_removals(now=later)
+        state.directory.apply_held_changes(now=later)
         self.assertEqual(state.directory.get_revision("i-2"), 0)
         self.network.ask("b", "a")
         self.assertNotIn("i-2", self.network.get_state("b").directory)
--- a/tests/test_storereader.py
+++ b/tests/test_storereader.py
@@ -180,9 +180,10 @@
         self.loop = Loop()
         self.store = Store(loop=self.loop, **fields)
         clock = types.SimpleNamespace(monotonic=lambda: self.loop.now)
-        patch = mock.patch.object(storereader, "time", clock)
-        patch.start()
-        self.addCleanup(patch.stop)
+        for module in (storereader, gossip):
+            patch = mock.patch.object(module, "time", clock)
+            patch.start()
+            self.addCleanup(patch.stop)
         self.fleet_state = gossip.FleetState(
             decode=documents.decode_configuration, log=logs.Log()
         )
