Ignore late records of servers from before a restore

What callers saw: nothing yet; a server that had left could stay in use for good.

Cause: a peer that had not heard of the restore sent a record written after the copy was made. An instance that the restored store lacks was unknown, so that the record was new, and no event of the store ever removes it.

Change: a record of an unknown instance from an era before that of the state that was listed is not used.

Evidence: test_a_late_record_from_before_the_restore_adds_no_server fails before.

--- a/src/jackdawlanding/decisions/directory.py
+++ b/src/jackdawlanding/decisions/directory.py
@@ -270,6 +270,8 @@
         known = self._records.get(instance)
         if known and known.revision >= revision:
             return False
+        if known is None and self._is_of_lost_era(revision):
+            return False
         held = self._held_changes.get(instance)
         if held and held.revision >= revision:
             return False
@@ -285,6 +287,11 @@
         self._held_changes.pop(instance, None)
         return self._replace_record(now, instance, change)
 
+    def _is_of_lost_era(self, revision):
+        """Return whether a revision is from before the restore of a listed store."""
+        era = revisions.get_era(self.complete_revision)
+        return revisions.get_era(revision) < era
+
     def _enter_era(self, now, revision):
         """Hold removals if the store was restored: entries are registered again."""
         era = revisions.get_era(revision)
@@ -374,7 +381,7 @@
 
         What a store confirmed before it was restored no longer holds.
         """
-        if revisions.get_era(revision) < revisions.get_era(self.complete_revision):
+        if self._is_of_lost_era(revision):
             return
         self.complete_revision = max(self.complete_revision, revision)
         self.confirmed_at = max(self.confirmed_at, at)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -340,6 +340,12 @@
         self.put(1, 9, late, instance="i-2", now=1.1)
         self.assertEqual(self.apply_at(9.0), ["i-2"])
 
+    def test_a_late_record_from_before_the_restore_adds_no_server(self):
+        """Nothing ever removed it: the store has no event of it."""
+        self.end_listing(2, 5, "i-1", "i-2")
+        self.put(1, 9, make_backend("i-9"), instance="i-9")
+        self.assertIsNone(self.directory.get("i-9"))
+
     def test_peers_are_told_of_a_restore_once_nothing_is_held(self):
         """A removal by listing is no event: who only reads on never learns of it."""
         before = revisions.make(era=1, number=6)
