--- a/tests/soak.py
+++ b/tests/soak.py
@@ -49,6 +49,9 @@
 DRAIN_SECONDS = 2.5
 CONFIGURATION_SECONDS = 2.5
 ODD_ENTRY_SECONDS = 0.2
+# The longest between two restores of the store, and until all that one lost is written.
+RESTORE_SECONDS = 8.0
+WRITTEN_AGAIN_SECONDS = 2.0
 # Few enough that odd keys end pages of the store.
 PAGE_SIZE = 3
 # The memory of the smallest machines in the site files.
@@ -295,7 +298,7 @@
             self.wait_ready()
             callers = self._start(*[self._call_repeatedly] * CALLERS)
             self._start(self._write_odd_entries)
-            faults = self._start(*self._draw_faults())
+            faults = self._start(self._restore_store, *self._draw_faults())
             time.sleep(SECONDS)
             for fault in faults:
                 fault.join()
@@ -353,6 +356,19 @@
             self._write_copy(draw, draw.choice(self.members), draw.randrange(COPIES))
             time.sleep(ODD_ENTRY_SECONDS)
 
+    def _restore_store(self):
+        """Restore the store from copies; what is lost by that is written again."""
+        draw = random.Random(self.seed + 2)
+        end = time.monotonic() + SECONDS - RESTORE_SECONDS
+        while time.monotonic() < end:
+            copy = self.store.copy()
+            time.sleep(draw.uniform(0.5, RESTORE_SECONDS / 2))
+            lost = list(self.store.restore(copy).values())
+            draw.shuffle(lost)
+            for event in lost:
+                time.sleep(draw.uniform(0, WRITTEN_AGAIN_SECONDS / len(lost)))
+                self.store.write_again(event)
+
     def _write_copy(self, draw, member, number):
         """Write or remove a copy of a live server's entry, sound in each field."""
         fields = draw.choice((None, *oddentries.SOUND_FIELDS))
--- a/tests/stores.py
+++ b/tests/stores.py
@@ -22,6 +22,7 @@
         self.revision = 10
         self.history_from = 0
         self.era = 1
+        self.restored_at = 0
         self.items = {}
         self.events = []
         self.calls = []
@@ -85,12 +86,31 @@
             return self.revision, dict(self.items), list(self.events)
 
     def restore(self, copy):
-        """Go back to a copy: what was written since then is lost."""
+        """Go back to a copy; return the last event of each key that is lost by it."""
         with self.changed:
             self.revision, items, events = copy
+            self.restored_at = self.revision
+            lost = {
+                event["key"]: event
+                for event in self.events
+                if event["revision"] > self.revision
+            }
             self.items, self.events = dict(items), list(events)
             self.era += 1
             self.changed.notify_all()
+            return lost
+
+    def write_again(self, event):
+        """Write what a lost event held, unless its key was written since."""
+        with self.changed:
+            key, value = event["key"], event.get("value")
+            written = {
+                known["key"]
+                for known in self.events
+                if known["revision"] > self.restored_at
+            }
+            if key not in written:
+                self.put(key, value and base64.b64decode(value))
 
     def forget_history(self):
         with self.changed:
