--- a/src/jackdawlanding/decisions/quarantine.py
+++ b/src/jackdawlanding/decisions/quarantine.py
@@ -142,4 +142,5 @@
 
 def make_fingerprint(*, service, method, target, key, body):
     """Return a 16-byte digest that is the same for all attempts of a request."""
-    return rendezvous.digest(service, method, target, key, body.hex())
+    body_digest = rendezvous.digest_bytes(body).hex()
+    return rendezvous.digest(service, method, target, key, body_digest)
--- a/src/jackdawlanding/decisions/rendezvous.py
+++ b/src/jackdawlanding/decisions/rendezvous.py
@@ -26,6 +26,11 @@
     return state.digest()
 
 
+def digest_bytes(data):
+    """Return a 16-byte digest of bytes."""
+    return blake2b(data, digest_size=DIGEST_BYTES).digest()
+
+
 def weigh(key, member):
     """Return the weight of ``member`` (text) for ``key`` (bytes), to compare by."""
     state = blake2b(member.encode(), digest_size=8, key=key[:64])
--- a/src/jackdawlanding/mesh/backends.py
+++ b/src/jackdawlanding/mesh/backends.py
@@ -70,9 +70,9 @@
         self._stray_count = 0
         if attempt.is_head:
             self.reader = http.ResponseReader(is_head=True)
-        self.stream.write(attempt.data)
+        self.stream.write_all(attempt.parts)
         # The stream holds what is not sent yet.
-        attempt.data = b""
+        attempt.parts = ()
 
     def has_carried(self, request_id):
         """Return whether a late response may carry an id."""
@@ -157,15 +157,15 @@
 class Attempt:
     """One request at the backend server; :meth:`cancel` closes its connection.
 
-    :param data: the bytes of the request.
+    :param parts: the bytes of the request, in order.
     :param is_head: whether its method is HEAD.
     :param id_header: the lower-case name of the header with the request's id.
     :param request_id: the id that the response must carry.
     :param on_done: called once with a :class:`Result`, unless cancelled.
     """
 
-    def __init__(self, *, data, is_head, id_header, request_id, on_done):
-        self.data = data
+    def __init__(self, *, parts, is_head, id_header, request_id, on_done):
+        self.parts = parts
         self.is_head = is_head
         self.id_header = id_header
         self.request_id = request_id
--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -127,7 +127,9 @@
         if (
             self._refusal is None
             and self._reader.body_bytes
-            and self._server.buffered_bytes > memory.MAXIMUM_REQUEST_BYTES
+            and not memory.has_room(
+                held=self._server.buffered_bytes, by_newcomer=buffered
+            )
         ):
             self._refusal = BUFFERS_FULL
         # While one request alone is served, its caller's leave must be noticed.
@@ -229,8 +231,7 @@
             # It may come from a daemon of another version.
             logger.exception("entry: An answer can't be written.")
             parts = _format_parts(UNWRITABLE, **options)
-        for part in parts:
-            self.stream.write(part)
+        self.stream.write_all(parts)
 
     def _end(self, *, lingers):
         """Close the connection once the last response is sent."""
@@ -262,10 +263,7 @@
 
 
 def _format_parts(response, **options):
-    """Return the bytes of a response in parts; a large body is not held twice."""
-    head, body = http.format_response_parts(response, **options)
-    data = memoryview(body)
-    return (head, data) if len(data) > memory.LARGE_BYTES else (head + body,)
+    return memory.make_parts(*http.format_response_parts(response, **options))
 
 
 class CallerServer:
--- a/src/jackdawlanding/mesh/codec.py
+++ b/src/jackdawlanding/mesh/codec.py
@@ -10,9 +10,10 @@
 
 import msgpack
 
-from jackdawlanding.mesh import messages
+from jackdawlanding.mesh import memory, messages
 
-MAXIMUM_MESSAGE_BYTES = 34 << 20
+# The largest body, and a head.
+MAXIMUM_MESSAGE_BYTES = (64 << 20) + (2 << 20)
 READ_BUFFER_BYTES = 4096
 # A history of 1 KiB, two or three messages without body, and 6 KiB of state for each
 # direction: a daemon has a link each way to every host that it calls in other regions.
@@ -22,8 +23,12 @@
 COMPRESSION_LEVEL = 1
 
 _NUMBERS = {kind: number for number, kind in enumerate(messages.KINDS)}
-_COMPRESSED_KINDS = frozenset({messages.Call, messages.Reply, messages.StateUpdate})
-_pack = msgpack.Packer(autoreset=True).pack
+_BODY_KINDS = frozenset({messages.Call, messages.Reply})
+_COMPRESSED_KINDS = _BODY_KINDS | {messages.StateUpdate}
+_packer = msgpack.Packer(autoreset=True)
+_pack = _packer.pack
+# The first byte of MessagePack's "bin 32", which its size in 4 bytes follows.
+_BIN_32 = b"\xc6"
 
 
 class MessageError(Exception):
@@ -42,11 +47,21 @@
 
     def encode(self, message):
         """Return a message as bytes."""
+        return b"".join(self.encode_parts(message))
+
+    def encode_parts(self, message):
+        """Return a message as parts, one of which refers to a large body."""
         if self.is_compressed and type(message) in _COMPRESSED_KINDS:
-            return self._encode_compressed(message)
-        return _pack(_list_values(message))
+            values, place = self._compress(message), 1
+        elif type(message) in _BODY_KINDS:
+            values = _list_values(message)
+            place = 1 + message._fields.index("body")
+        else:
+            return (_pack(_list_values(message)),)
+        return _pack_parts(values, place)
 
-    def _encode_compressed(self, message):
+    def _compress(self, message):
+        """Return the compressed message without its body, and the body."""
         if self._compressor is None:
             self._compressor = zlib.compressobj(
                 COMPRESSION_LEVEL, zlib.DEFLATED, -WINDOW_BITS, MEMORY_LEVEL
@@ -57,7 +72,7 @@
         head = _pack(_list_values(message))
         compressed = self._compressor.compress(head)
         compressed += self._compressor.flush(zlib.Z_SYNC_FLUSH)
-        return _pack((compressed, body))
+        return compressed, body
 
 
 class Decoder:
@@ -123,6 +138,17 @@
         return message._replace(body=body) if body else message
 
 
+def _pack_parts(values, place):
+    """Pack an array as parts; the value at ``place`` is not copied if it is large."""
+    body = values[place]
+    if len(body) <= memory.LARGE_BYTES:
+        return (_pack(values),)
+    before = [_packer.pack_array_header(len(values)), *map(_pack, values[:place])]
+    before.append(_BIN_32 + len(body).to_bytes(4, "big"))
+    after = b"".join(map(_pack, values[place + 1 :]))
+    return b"".join(before), memoryview(body), after
+
+
 def _list_values(message):
     fields = message if message[-1] is not None else message[:-1]
     return (_NUMBERS[type(message)], *fields)
--- a/src/jackdawlanding/mesh/executor.py
+++ b/src/jackdawlanding/mesh/executor.py
@@ -13,6 +13,7 @@
     backends,
     classification,
     health,
+    memory,
     messages,
     occupant,
 )
@@ -330,14 +331,15 @@
             (headers.CALLER, call.caller.encode("latin-1")),
             (headers.EXPECTED_INSTANCE, execution.instance.encode("latin-1")),
         ]
+        head = http.format_request_head(
+            method=call.method,
+            target=call.target,
+            headers=pairs,
+            body=call.body,
+            has_body=call.has_body,
+        )
         return backends.Attempt(
-            data=http.format_request(
-                method=call.method,
-                target=call.target,
-                headers=pairs,
-                body=call.body,
-                has_body=call.has_body,
-            ),
+            parts=memory.make_parts(head, call.body),
             is_head=call.method == "HEAD",
             id_header=headers.REQUEST_ID.lower(),
             request_id=call.request_id.encode("latin-1"),
--- a/src/jackdawlanding/mesh/links.py
+++ b/src/jackdawlanding/mesh/links.py
@@ -173,7 +173,7 @@
         if self._stream is None:
             self._open()
         self._last_used_at = time.monotonic()
-        self._stream.write(self._encoder.encode(message))
+        self._stream.write_all(self._encoder.encode_parts(message))
 
     def _open(self):
         self._encoder = codec.Encoder()
--- a/src/jackdawlanding/mesh/memory.py
+++ b/src/jackdawlanding/mesh/memory.py
@@ -1,17 +1,38 @@
 """How much a daemon holds for others.
 
-The smallest machines have 200 MB. A body is held up to three times while it is passed
-on, and buffers that grow take up to twice what they hold.
+The smallest machines have 200 MB. A body is held twice for a moment, where it is taken
+from the buffer that it was received in.
 """
 
 # The most bytes of the requests of callers that are received or served.
 MAXIMUM_REQUEST_BYTES = 32 << 20
+# While others hold no more, one request may take any size that the operator allows.
+FREE_REQUEST_BYTES = 8 << 20
 # The most bytes of the calls of other daemons, and of answers that were not read yet.
 MAXIMUM_HELD_BYTES = 12 << 20
 # Smaller bodies and messages are not held up for room.
 LARGE_BYTES = 65536
 
 
+def has_room(*, held, by_newcomer):
+    """Return whether a request may be received on.
+
+    One of any size may, where the others leave most of the room free.
+
+    :param held: the bytes of all requests that are received or served.
+    :param by_newcomer: those of the request.
+    """
+    others = held - by_newcomer
+    return held <= MAXIMUM_REQUEST_BYTES or others <= FREE_REQUEST_BYTES
+
+
+def make_parts(head, body):
+    """Return what to write for a message: one part, unless its body is large."""
+    if len(body) <= LARGE_BYTES:
+        return (head + body,)
+    return head, memoryview(body)
+
+
 def count_readable(*, held, arriving, count):
     """Return how many of some large messages may be read on at the same time.
 
--- a/src/jackdawlanding/mesh/occupant.py
+++ b/src/jackdawlanding/mesh/occupant.py
@@ -120,12 +120,14 @@
         self._checked_at = now
         self._checked_name = ""
         attempt = backends.Attempt(
-            data=http.format_request(
-                method="GET",
-                target=target,
-                headers=[(b"Host", self._service.encode("latin-1", "replace"))],
-                body=b"",
-                has_body=False,
+            parts=(
+                http.format_request(
+                    method="GET",
+                    target=target,
+                    headers=[(b"Host", self._service.encode("latin-1", "replace"))],
+                    body=b"",
+                    has_body=False,
+                ),
             ),
             is_head=False,
             id_header=headers.REQUEST_ID.lower(),
--- a/src/jackdawlanding/mesh/serving.py
+++ b/src/jackdawlanding/mesh/serving.py
@@ -49,7 +49,7 @@
 
     def send(self, message):
         """Send a message; on a closed link it is dropped."""
-        self.stream.write(self._encoder.encode(message))
+        self.stream.write_all(self._encoder.encode_parts(message))
 
     def enable_compression(self):
         """Compress later messages, for a calling daemon in another region."""
--- a/src/jackdawlanding/mesh/streams.py
+++ b/src/jackdawlanding/mesh/streams.py
@@ -4,7 +4,7 @@
 import logging
 import socket
 
-from jackdawlanding.mesh import eventloop
+from jackdawlanding.mesh import eventloop, sendbuffer
 
 logger = logging.getLogger("jackdaw.streams")
 
@@ -58,7 +58,7 @@
     def __init__(self, *, loop, sock, is_connecting=False):
         self._loop = loop
         self.sock = sock
-        self._unsent = bytearray()
+        self._unsent = sendbuffer.SendBuffer()
         self._is_connecting = is_connecting
         self._closes_when_flushed = False
         self._is_paused = False
@@ -79,13 +79,13 @@
     @property
     def unsent(self):
         """The number of bytes that are not sent yet."""
-        return len(self._unsent)
+        return self._unsent.size
 
     def write(self, data):
         """Send bytes, or buffer them until the socket is writable."""
         if self.is_closed:
             return
-        if not self._unsent and not self._is_connecting:
+        if not self._unsent.size and not self._is_connecting:
             try:
                 sent = self.sock.send(data)
             except BlockingIOError:
@@ -96,10 +96,15 @@
             if sent == len(data):
                 return
             data = memoryview(data)[sent:]
-        self._unsent += data
+        self._unsent.append(data)
         self._loop.unsent_bytes += len(data)
         self._watch()
 
+    def write_all(self, parts):
+        """Send the parts of one message; see :meth:`write`."""
+        for part in parts:
+            self.write(part)
+
     def pause(self):
         """Stop reading until :meth:`resume`."""
         if not self._is_paused and not self.is_closed:
@@ -119,7 +124,7 @@
             if self.sock is not None:
                 self._loop.unwatch(self.sock.fileno())
                 self.sock.close()
-            self._loop.unsent_bytes -= len(self._unsent)
+            self._loop.unsent_bytes -= self._unsent.size
             self._unsent.clear()
             # The callbacks refer to what was received, and their owner to the stream.
             self.on_open = self.on_data = self.on_closed = self.on_drained = None
@@ -132,7 +137,7 @@
         self._lingers = lingers
         self._closes_when_flushed = True
         self.on_data = _discard
-        if not self._unsent:
+        if not self._unsent.size:
             self._close_flushed()
 
     def on_events(self, mask):
@@ -148,7 +153,7 @@
         if self.sock is None:
             return
         mask = 0 if self._is_paused else eventloop.READ
-        if self._unsent or self._is_connecting:
+        if self._unsent.size or self._is_connecting:
             mask |= eventloop.WRITE
         self._loop.watch(self.sock.fileno(), self, mask)
 
@@ -164,22 +169,31 @@
             self._flush()
 
     def _flush(self):
-        if self._unsent:
-            try:
-                sent = self.sock.send(self._unsent)
-            except BlockingIOError:
-                return
-            except OSError:
-                if self.reads_after_error:
-                    self._read_rest()
-                self.close_and_notify(was_reset=True)
-                return
-            del self._unsent[:sent]
+        if not self._unsent.size:
+            if not self.is_closed:
+                self._watch()
+            return
+        try:
+            self._send_unsent()
+        except BlockingIOError:
+            return
+        except OSError:
+            if self.reads_after_error:
+                self._read_rest()
+            self.close_and_notify(was_reset=True)
+            return
+        if not self._unsent.size:
+            self._finish_flush()
+
+    def _send_unsent(self):
+        """Send as much as the socket takes."""
+        is_whole = True
+        while is_whole and self._unsent.size:
+            first = self._unsent.get_first()
+            sent = self.sock.send(first)
+            is_whole = sent == len(first)
+            self._unsent.remove(sent)
             self._loop.unsent_bytes -= sent
-            if not self._unsent:
-                self._finish_flush()
-        elif not self.is_closed:
-            self._watch()
 
     def _finish_flush(self):
         on_drained = self.on_drained
--- a/src/jackdawlanding/wire/http.py
+++ b/src/jackdawlanding/wire/http.py
@@ -466,7 +466,15 @@
 
 
 def format_request(*, method, target, headers, body, has_body):
-    """Return the bytes of a request.
+    """Return the bytes of a request; see :func:`format_request_head`."""
+    head = format_request_head(
+        method=method, target=target, headers=headers, body=body, has_body=has_body
+    )
+    return head + body
+
+
+def format_request_head(*, method, target, headers, body, has_body):
+    """Return the bytes of a request that come before its body.
 
     :param has_body: whether to send a ``Content-Length`` for an empty body too.
     :raises HeadError: a part of the head would end its line, or the whole head.
@@ -475,7 +483,7 @@
     lines += [name + b": " + value for name, value in headers]
     if has_body or body:
         lines.append(b"Content-Length: %d" % len(body))
-    return _join_head(lines, headers) + body
+    return _join_head(lines, headers)
 
 
 def _join_head(lines, headers):
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -89,12 +89,14 @@
         """Return the answer to a request."""
         results = []
         attempt = backends.Attempt(
-            data=http.format_request(
-                method="PUT",
-                target="/",
-                headers=[(b"X-Request-Id", request_id)] if request_id else [],
-                body=b"",
-                has_body=True,
+            parts=(
+                http.format_request(
+                    method="PUT",
+                    target="/",
+                    headers=[(b"X-Request-Id", request_id)] if request_id else [],
+                    body=b"",
+                    has_body=True,
+                ),
             ),
             is_head=False,
             id_header=b"x-request-id",
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -31,6 +31,10 @@
         if not self.is_stalled:
             self.sent, self.waiting = self.sent + self.waiting, b""
 
+    def write_all(self, parts):
+        for part in parts:
+            self.write(part)
+
     def drain(self):
         self.is_stalled = False
         had_waiting = bool(self.waiting)
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -100,7 +100,7 @@
         decoder = codec.Decoder()
         decoder.feed(b"\x92\x02\xc6\xff\xff\xff\xff")
         with self.assertRaises(codec.MessageError):
-            for _ in range(40):
+            for _ in range(1 + (codec.MAXIMUM_MESSAGE_BYTES >> 20)):
                 decoder.feed(bytes(1 << 20))
 
     def test_compressed_calls_take_less_than_half(self):
@@ -119,6 +119,16 @@
         self.assertIn(body, data)
         self.assertEqual(decoder.feed(data)[0].body, body)
 
+    def test_a_large_body_is_not_copied_and_reads_as_any_other(self):
+        body = random.Random(2).randbytes(300_000)
+        for is_compressed in (False, True):
+            encoder, decoder = codec.Encoder(), codec.Decoder()
+            encoder.is_compressed = is_compressed
+            call = make_call(1, body=body)
+            parts = encoder.encode_parts(call)
+            self.assertTrue(any(getattr(part, "obj", None) is body for part in parts))
+            self.assertEqual(decoder.feed(b"".join(parts)), [call])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_hostile_callers.py
+++ b/tests/test_hostile_callers.py
@@ -45,6 +45,7 @@
         self.daemon, self.peer = self.soak.members
         self.soak.change_configuration(limits=LIMITS)
         for member in self.soak.members:
+            member.backend_server.bodies["/pay/1"] = b"done"
             member.start()
         self.soak.wait_ready()
         self.crowd = []
