Let stalled bodies make room for ordinary requests

What callers saw: 503 for each request whose body came in two segments, while a crowd held bodies that stop short of their end.

Cause: once the room for requests was taken, whoever came next was refused. Those that held it could keep it until they were idle for the operator's time.

Change: a request that finds no room takes that of the largest one that received nothing for a second; a small request takes that of a larger one in any case. The other one gets 503, which is true: it was not complete.

--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -23,6 +23,8 @@
 # has not read before no further request of its connection is served.
 MAXIMUM_QUEUED_BYTES = 1 << 20
 MAXIMUM_UNSENT_BYTES = 1 << 18
+# A partial request that receives nothing for this long makes room for others.
+STALL_SECONDS = 1.0
 # The Retry-After value of a request beyond that: some others have ended by then.
 BUFFERS_RETRY_SECONDS = 1.0
 BUFFERS_FULL = responses.make_refusal(
@@ -68,7 +70,7 @@
         self._is_advancing = False
         self._is_last_sent = False
         self._unsent = 0
-        self.waiting_since = time.monotonic()
+        self.waiting_since = self.received_at = time.monotonic()
         stream.on_data = self._on_data
         stream.on_closed = self._on_closed
         stream.on_drained = self._on_drained
@@ -83,6 +85,23 @@
             or self._is_last_sent
         )
 
+    @property
+    def held_bytes(self):
+        """What the received requests and parts of requests take."""
+        return self._buffered
+
+    @property
+    def is_receiving(self):
+        """Whether a part of a request was received, and the rest is awaited."""
+        return self._reader.has_begun and self._refusal is None
+
+    def refuse_partial(self):
+        """Drop the part of a request that was received, to make room."""
+        self._refusal = BUFFERS_FULL
+        self._reader.close()
+        self._limit_buffers()
+        self._advance()
+
     def check(self, now):
         """Refuse a request that arrives too slowly; close an idle connection."""
         if self._entries:
@@ -105,7 +124,7 @@
         self._on_closed(False)
 
     def _on_data(self, data):
-        now = time.monotonic()
+        now = self.received_at = time.monotonic()
         if not self._entries and (self._reader.has_head or not self._reader.has_begun):
             self.waiting_since = now
         try:
@@ -127,9 +146,7 @@
         if (
             self._refusal is None
             and self._reader.body_bytes
-            and not memory.has_room(
-                held=self._server.buffered_bytes, by_newcomer=buffered
-            )
+            and not self._server.make_room(self)
         ):
             self._refusal = BUFFERS_FULL
         # While one request alone is served, its caller's leave must be noticed.
@@ -321,6 +338,43 @@
         """Stop tracking a connection."""
         self._connections.discard(connection)
 
+    def make_room(self, newcomer):
+        """Return whether a connection may receive on, at the cost of others if needed.
+
+        Of the connections that await the rest of a request, those go first from which
+        nothing came for a while, then larger ones than a small newcomer; the largest
+        first.
+        """
+        while not memory.has_room(
+            held=self.buffered_bytes, by_newcomer=newcomer.held_bytes
+        ):
+            victim = self._find_victim(newcomer)
+            if victim is None:
+                return False
+            victim.refuse_partial()
+        return True
+
+    def _find_victim(self, newcomer):
+        stalled_since = time.monotonic() - STALL_SECONDS
+        is_small = newcomer.held_bytes <= memory.LARGE_BYTES
+        return max(
+            (
+                connection
+                for connection in self._connections
+                if connection is not newcomer
+                and connection.is_receiving
+                and (
+                    connection.received_at < stalled_since
+                    or (is_small and connection.held_bytes > newcomer.held_bytes)
+                )
+            ),
+            key=lambda connection: (
+                connection.received_at < stalled_since,
+                connection.held_bytes,
+            ),
+            default=None,
+        )
+
     def close_idle(self):
         """Close idle connections."""
         for connection in [
