Count what the objects of requests take, not the bytes of bodies alone

What callers saw: a daemon took 275 MB for 400 heads of small fields, and 308 MB for requests sent ahead of slow answers. On a machine of 200 MB it ends.

Cause: only bodies counted toward the room for requests. A header of five characters takes some 300 bytes as objects, and one read of 64 KB may hold hundreds of requests.

Change: heads, partial or whole, and requests that wait count by what their objects take. Where there is no room, what a connection sent ahead is dropped and the connection ends with a 503 after what runs; one request of up to 16 KB is always served.

--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -22,6 +22,8 @@
 # Bytes of queued requests before reading pauses, and of responses that the caller
 # has not read before no further request of its connection is served.
 MAXIMUM_QUEUED_BYTES = 1 << 20
+# One request that takes no more is served also where there is no room for others.
+SMALL_BYTES = 1 << 14
 MAXIMUM_UNSENT_BYTES = 1 << 18
 # A partial request that receives nothing for this long makes room for others.
 STALL_SECONDS = 1.0
@@ -37,10 +39,11 @@
 class _Entry:
     """A request and its place in the order of responses."""
 
-    __slots__ = ("active", "received_at", "request", "response")
+    __slots__ = ("active", "held_bytes", "received_at", "request", "response")
 
     def __init__(self, *, request, received_at):
         self.request = request
+        self.held_bytes = request.held_bytes
         self.received_at = received_at
         self.active = None
         self.response = None
@@ -62,7 +65,7 @@
         self._entries = collections.deque()
         # How many of the entries are being served: the first ones.
         self._started = 0
-        # Bytes of the entries' bodies, and these with the partial request's.
+        # What the entries take, and that with what the partial request takes.
         self._queued_bytes = 0
         self._buffered = 0
         # The response to what can't be served, which ends the connection.
@@ -133,22 +136,17 @@
             self._refusal = http.make_text_response(error.status, str(error))
         ready, self._reader.ready = self._reader.ready, []
         for request in ready:
-            self._entries.append(_Entry(request=request, received_at=now))
-            self._queued_bytes += len(request.body)
+            entry = _Entry(request=request, received_at=now)
+            self._entries.append(entry)
+            self._queued_bytes += entry.held_bytes
         self._limit_buffers()
         self._advance()
 
     def _limit_buffers(self):
-        """Count the buffered bytes; refuse a partial request that is too much."""
-        buffered = self._queued_bytes + self._reader.body_bytes
-        self._server.buffered_bytes += buffered - self._buffered
-        self._buffered = buffered
-        if (
-            self._refusal is None
-            and self._reader.body_bytes
-            and not self._server.make_room(self)
-        ):
-            self._refusal = BUFFERS_FULL
+        """Count what is held; refuse what is too much and was not started."""
+        self._count_buffered()
+        if self._refusal is None and not self._server.make_room(self):
+            self._refuse_waiting()
         # While one request alone is served, its caller's leave must be noticed.
         is_full = len(self._entries) > 1 and self._queued_bytes > MAXIMUM_QUEUED_BYTES
         if (
@@ -160,6 +158,25 @@
         else:
             self.stream.resume()
 
+    def _count_buffered(self):
+        buffered = self._queued_bytes + self._reader.held_bytes
+        self._server.buffered_bytes += buffered - self._buffered
+        self._buffered = buffered
+
+    def _refuse_waiting(self):
+        """Drop what was not started, but for the first request if it is small."""
+        if not self._reader.has_begun and self._is_small_alone():
+            return
+        self._refusal = BUFFERS_FULL
+        self._reader.close()
+        while len(self._entries) > self._started and not self._is_small_alone():
+            self._queued_bytes -= self._entries.pop().held_bytes
+        self._count_buffered()
+
+    def _is_small_alone(self):
+        """Whether one request waits or runs, which takes little."""
+        return len(self._entries) == 1 and self._queued_bytes <= SMALL_BYTES
+
     def _advance(self):
         """Send the responses that are due, and serve the requests that may start."""
         if self._is_advancing:
@@ -180,9 +197,10 @@
         response = self._entries[0].response
         if response is None:
             return False
-        request = self._entries.popleft().request
+        entry = self._entries.popleft()
+        request = entry.request
         self._started -= 1
-        self._queued_bytes -= len(request.body)
+        self._queued_bytes -= entry.held_bytes
         self.waiting_since = time.monotonic()
         is_last = self._server.is_shutting_down and not self._started
         keep_alive = request.keep_alive and not is_last
--- a/src/jackdawlanding/wire/http.py
+++ b/src/jackdawlanding/wire/http.py
@@ -61,7 +61,8 @@
 
     ``peer`` is the sender's IP address; the reader leaves it empty, and the code
     that accepted the connection may set it. ``index`` maps the lower-case names of
-    headers to their first values; ``None`` if it was not made.
+    headers to their first values; ``None`` if it was not made. ``head_bytes`` is the
+    size of the head.
     """
 
     method: str
@@ -72,14 +73,25 @@
     keep_alive: bool
     peer: str = ""
     index: dict | None = None
+    head_bytes: int = 0
 
     get_header = _get_header
 
+    @property
+    def held_bytes(self):
+        """About what the request takes in memory."""
+        return REQUEST_BYTES + len(self.body) + _estimate_head(self)
+
     def get_header_text(self, name):
         """Return the first value of a header as text; see :meth:`get_header`."""
         return self.get_header(name).decode("latin-1")
 
 
+def _estimate_head(message):
+    """Return about what a head takes: each name is held once more, in the index."""
+    return HEADER_BYTES * len(message.headers) + 2 * message.head_bytes
+
+
 class Response(typing.NamedTuple):
     """A complete response; ``headers`` holds pairs of bytes.
 
@@ -120,6 +132,10 @@
 
 RESPONSE_LIMITS = Limits(head_bytes=65536, body_bytes=16 << 20)
 MAXIMUM_RESPONSE_HEADERS = 256
+# What the objects of a request take beside its body and head, and those of a header
+# beside its characters: three bytes objects, a tuple and an entry of the index.
+REQUEST_BYTES = 2048
+HEADER_BYTES = 300
 MAXIMUM_INTERIM_RESPONSES = 16
 
 
@@ -144,6 +160,12 @@
         """The size of the part of the current message's body that was received."""
         return self._body_size
 
+    @property
+    def held_bytes(self):
+        """About what the current message takes in memory."""
+        head = HEADER_BYTES * len(self._headers) + 2 * self._head_size
+        return self._body_size + head + self._stalled_size
+
     def on_message_begin(self):
         """Record the start of a message; called by httptools."""
         self._in_message = self._has_progressed = True
@@ -300,6 +322,7 @@
             has_body=b"content-length" in index or b"transfer-encoding" in index,
             keep_alive=self._parser.should_keep_alive(),
             index=index,
+            head_bytes=self._head_size,
         )
         self._reset()
         self.ready.append(request)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -211,7 +211,9 @@
     def test_the_caller_s_leave_cancels_all_and_frees_the_buffers(self):
         self.serving.send(0, body=b"x" * 80)
         self.serving.send(1, body=b"x" * 80)
-        self.assertEqual(self.serving.server.buffered_bytes, 160)
+        held = [request.held_bytes for request, _ in self.serving.active.values()]
+        self.assertEqual(self.serving.server.buffered_bytes, sum(held))
+        self.assertGreater(min(held), 80)
         self.serving.stream.on_closed(False)
         self.assertEqual(self.serving.cancelled, [0, 1])
         self.assertEqual(self.serving.server.buffered_bytes, 0)
