Bound the answers that callers have not read, also before their size is known

What callers saw: a daemon took 220 to 275 MB while 60 callers read answers of 6 MB slowly. On a machine of 200 MB it ends, for all.

Cause: room for an answer is reserved by the sizes of the ones before it, so that the first ones of a kind find room whatever they take; small ones never count.

Change: where callers have more than 32 MiB unread, those that read nothing for a second are cut off, then the largest. With 12 MiB unread no further answer is made for a caller that has one before it. A view is replaced by a copy once most of it was sent.

--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -61,6 +61,8 @@
         self.stream = stream
         self.host = host
         self._server = server
+        # When the caller last read, or had nothing to read.
+        self.read_at = time.monotonic()
         self._reader = http.RequestReader(limits=server.limits)
         self._entries = collections.deque()
         # How many of the entries are being served: the first ones.
@@ -107,11 +109,14 @@
 
     def check(self, now):
         """Refuse a request that arrives too slowly; close an idle connection."""
+        has_read = self.stream.unsent < self._unsent
+        if has_read or not self._unsent:
+            self.read_at = now
+        self._unsent = self.stream.unsent
         if self._entries:
             return
-        if self.stream.unsent < self._unsent:
+        if has_read:
             self.waiting_since = now
-        self._unsent = self.stream.unsent
         limits, age = self._server.limits, now - self.waiting_since
         if self._is_last_sent or not self._reader.has_begun:
             if age > limits.idle_seconds:
@@ -235,6 +240,8 @@
     def _may_start(self):
         if self.stream.is_closed or self.stream.unsent > MAXIMUM_UNSENT_BYTES:
             return False
+        if self.stream.unsent and self._server.has_much_unread:
+            return False
         if self._started == len(self._entries):
             return False
         if not self._started:
@@ -267,6 +274,8 @@
             logger.exception("entry: An answer can't be written.")
             parts = _format_parts(UNWRITABLE, **options)
         self.stream.write_all(parts)
+        if self.stream.unsent:
+            self._server.limit_unread()
 
     def _end(self, *, lingers):
         """Close the connection once the last response is sent."""
@@ -331,6 +340,8 @@
         self.buffered_bytes = 0
         self._get_limits = get_limits
         self._connections = set()
+        self._loop = loop
+        self.limit_unread = loop.coalesce(self._cut_slow_readers)
         loop.call_every(SWEEP_SECONDS, self._sweep)
 
     @property
@@ -393,6 +404,34 @@
             default=None,
         )
 
+    @property
+    def has_much_unread(self):
+        """Whether no further answer may wait behind one that was not read."""
+        return self._loop.unsent_bytes > memory.MAXIMUM_HELD_BYTES
+
+    def _cut_slow_readers(self):
+        """Close connections while answers that were not read take too much.
+
+        Those go first that read nothing for a while, and the largest first.
+        """
+        if self._loop.unsent_bytes <= memory.MAXIMUM_UNREAD_BYTES:
+            return
+        stalled_since = time.monotonic() - STALL_SECONDS
+        unread = sum(connection.stream.unsent for connection in self._connections)
+        for connection in sorted(
+            self._connections,
+            key=lambda connection: (
+                connection.read_at >= stalled_since,
+                -connection.stream.unsent,
+            ),
+        ):
+            if unread <= memory.MAXIMUM_UNREAD_BYTES:
+                return
+            if connection.stream.unsent:
+                unread -= connection.stream.unsent
+                logger.info("entry: A caller that reads slowly is cut off.")
+                connection.close()
+
     def close_idle(self):
         """Close idle connections."""
         for connection in [
--- a/src/jackdawlanding/mesh/memory.py
+++ b/src/jackdawlanding/mesh/memory.py
@@ -10,6 +10,9 @@
 FREE_REQUEST_BYTES = 8 << 20
 # The most bytes of the calls of other daemons, and of answers that were not read yet.
 MAXIMUM_HELD_BYTES = 12 << 20
+# The most bytes of answers that callers have not read. Those who read least are cut off
+# where it is more: the size of an answer may be known too late.
+MAXIMUM_UNREAD_BYTES = 32 << 20
 # Smaller bodies and messages are not held up for room.
 LARGE_BYTES = 65536
 
--- a/src/jackdawlanding/mesh/sendbuffer.py
+++ b/src/jackdawlanding/mesh/sendbuffer.py
@@ -42,9 +42,14 @@
         elif type(first) is bytearray:
             del first[:count]
         else:
-            self._parts[0] = first[count:]
+            self._parts[0] = _shrink(first[count:])
 
     def clear(self):
         """Remove all bytes."""
         self._parts.clear()
         self.size = 0
+
+
+def _shrink(rest):
+    """Return a view, of a copy where most of what it refers to was sent."""
+    return memoryview(bytes(rest)) if 2 * len(rest) < len(rest.obj) else rest
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -59,6 +59,11 @@
 
 
 class FakeLoop:
+    unsent_bytes = 0
+
+    def coalesce(self, callback):
+        return callback
+
     def call_every(self, seconds, callback):
         pass
 
