Read connections of many small pieces one after the other

What callers saw: ordinary orders took 4.5 to 7.8 s, or got 503, beside 400 connections that sent chunks of two bytes.

Cause: 64 KB of such chunks take some 10 ms to parse, and the loop reads up to 256 connections in an iteration.

Change: after bytes of more than 1000 headers and parts of bodies a connection waits, and one of those that wait reads on each 20 ms.

Evidence: test_bytes_of_many_pieces_are_read_one_connection_after_the_other fails before, for there is no such wait.

--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -25,6 +25,10 @@
 # One request that takes no more is served also where there is no room for others.
 SMALL_BYTES = 1 << 14
 MAXIMUM_UNSENT_BYTES = 1 << 18
+# Bytes that hold more headers and parts of bodies than this take long to parse. One
+# connection at a time reads on after such, at these intervals.
+MAXIMUM_PIECES = 1000
+DELAYED_READ_SECONDS = 0.02
 # A partial request that receives nothing for this long makes room for others.
 STALL_SECONDS = 1.0
 # The Retry-After value of a request beyond that: some others have ended by then.
@@ -70,6 +74,8 @@
         # What the entries take, and that with what the partial request takes.
         self._queued_bytes = 0
         self._buffered = 0
+        # Whether reading waits, as the last bytes took long.
+        self._is_delayed = False
         # The response to what can't be served, which ends the connection.
         self._refusal = None
         self._is_advancing = False
@@ -100,6 +106,12 @@
         """Whether a part of a request was received, and the rest is awaited."""
         return self._reader.has_begun and self._refusal is None
 
+    def read_on(self):
+        """Read again after a delay."""
+        self._is_delayed = False
+        if not self.stream.is_closed:
+            self._limit_buffers()
+
     def refuse_partial(self):
         """Drop the part of a request that was received, to make room."""
         self._refusal = BUFFERS_FULL
@@ -139,6 +151,9 @@
             self._reader.feed(data)
         except http.RequestError as error:
             self._refusal = http.make_text_response(error.status, str(error))
+        if self._reader.piece_count > MAXIMUM_PIECES:
+            self._is_delayed = True
+            self._server.delay_reading(self)
         ready, self._reader.ready = self._reader.ready, []
         for request in ready:
             entry = _Entry(request=request, received_at=now)
@@ -156,6 +171,7 @@
         is_full = len(self._entries) > 1 and self._queued_bytes > MAXIMUM_QUEUED_BYTES
         if (
             self._refusal is not None
+            or self._is_delayed
             or is_full
             or len(self._entries) > MAXIMUM_PIPELINED
         ):
@@ -341,6 +357,7 @@
         self._get_limits = get_limits
         self._connections = set()
         self._loop = loop
+        self._delayed = collections.deque()
         self.limit_unread = loop.coalesce(self._cut_slow_readers)
         loop.call_every(SWEEP_SECONDS, self._sweep)
 
@@ -367,6 +384,17 @@
         """Stop tracking a connection."""
         self._connections.discard(connection)
 
+    def delay_reading(self, connection):
+        """Let a connection read on after those that were delayed before it."""
+        self._delayed.append(connection)
+        if len(self._delayed) == 1:
+            self._loop.call_later(DELAYED_READ_SECONDS, self._end_delay)
+
+    def _end_delay(self):
+        self._delayed.popleft().read_on()
+        if self._delayed:
+            self._loop.call_later(DELAYED_READ_SECONDS, self._end_delay)
+
     def make_room(self, newcomer):
         """Return whether a connection may receive on, at the cost of others if needed.
 
--- a/src/jackdawlanding/wire/http.py
+++ b/src/jackdawlanding/wire/http.py
@@ -147,11 +147,14 @@
     The parser keeps an unfinished header or chunk head to itself. A message without
     end is therefore also noticed by the bytes in a row that complete no part of it.
 
+    ``piece_count`` tells how many headers and parts of bodies the last bytes held.
+
     :param limits: an object with ``head_bytes`` and ``body_bytes``.
     """
 
     def __init__(self, *, limits):
         self.ready = []
+        self.piece_count = 0
         self._limits = limits
         self._reset()
 
@@ -175,6 +178,7 @@
 
         RFC 9110, section 6.5.1: a trailer may not be taken for a header.
         """
+        self.piece_count += 1
         self._count_head_bytes(len(name) + len(value) + 4)
         if not self.has_head:
             self._headers.append((name, value))
@@ -182,6 +186,7 @@
     def on_body(self, data):
         """Append a part of the body; called by httptools."""
         self._has_progressed = True
+        self.piece_count += 1
         self._body_size += len(data)
         self._check_body_size(self._body_size)
         # An object for each piece can take many times the piece's bytes.
@@ -252,6 +257,7 @@
         :raises RequestError: a request is malformed or over a limit.
         """
         self.has_begun = True
+        self.piece_count = 0
         rest = memoryview(data)
         try:
             while rest is not None:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -64,9 +64,15 @@
     def coalesce(self, callback):
         return callback
 
+    def __init__(self):
+        self.timers = []
+
     def call_every(self, seconds, callback):
         pass
 
+    def call_later(self, seconds, callback):
+        self.timers.append(callback)
+
 
 class FakeServing:
     """Serves requests until the test responds to them."""
@@ -76,8 +82,9 @@
         self.started = []
         self.cancelled = []
         self.most_overlapping = 0
+        self.loop = FakeLoop()
         self.server = callers.CallerServer(
-            loop=FakeLoop(),
+            loop=self.loop,
             serve=self.serve,
             get_limits=lambda: LIMITS,
             may_overlap=lambda request: request.target.startswith("/safe"),
@@ -213,6 +220,22 @@
         self.assertEqual(self.serving.started, [])
         self.assertEqual(server.buffered_bytes, memory.MAXIMUM_REQUEST_BYTES)
 
+    def test_bytes_of_many_pieces_are_read_one_connection_after_the_other(self):
+        """Chunks of two bytes kept the daemon busy, and all others waiting."""
+        server, chunks = self.serving.server, b"1\r\nx\r\n" * 1100
+        head = b"POST /safe/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        streams = [FakeStream() for _ in range(3)]
+        limits = LIMITS._replace(body_bytes=9999)
+        server._get_limits = lambda: limits
+        for stream in streams:
+            server.accept(stream, "10.0.0.1")
+            stream.on_data(head + chunks)
+        for paused in (3, 2, 1, 0):
+            self.assertEqual(sum(stream.is_paused for stream in streams), paused)
+            self.assertEqual(len(self.serving.loop.timers), int(paused > 0))
+            for callback in [self.serving.loop.timers.pop()] if paused else ():
+                callback()
+
     def test_the_caller_s_leave_cancels_all_and_frees_the_buffers(self):
         self.serving.send(0, body=b"x" * 80)
         self.serving.send(1, body=b"x" * 80)
