Leave descriptors for connections to backend servers and peers

What callers saw: no answer, while 400 connections with half a head each held all of a daemon's 256 descriptors.

Cause: connections of callers could take all descriptors of the process. None was left to accept another, or to reach a backend server or a peer.

Change: callers get three quarters of the descriptors. Over that the connections are closed that sent nothing for longest and have no request in service, a share at a time, so that a flood of connections costs little.

--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -5,7 +5,10 @@
 """
 
 import collections
+import heapq
 import logging
+import resource
+import sys
 import time
 
 from jackdawlanding.mesh import memory, responses
@@ -29,6 +32,10 @@
 # connection at a time reads on after such, at these intervals.
 MAXIMUM_PIECES = 1000
 DELAYED_READ_SECONDS = 0.02
+# The share of the process's descriptors that callers may take, and what remains of them
+# when some are closed.
+CONNECTION_SHARE = 0.75
+KEPT_SHARE = 0.95
 # A partial request that receives nothing for this long makes room for others.
 STALL_SECONDS = 1.0
 # The Retry-After value of a request beyond that: some others have ended by then.
@@ -112,6 +119,11 @@
         if not self.stream.is_closed:
             self._limit_buffers()
 
+    @property
+    def is_serving(self):
+        """Whether a request is served, or its answer is not read yet."""
+        return bool(self._entries or self.stream.unsent)
+
     def refuse_partial(self):
         """Drop the part of a request that was received, to make room."""
         self._refusal = BUFFERS_FULL
@@ -326,6 +338,14 @@
     return memory.make_parts(*http.format_response_parts(response, **options))
 
 
+def _compute_maximum_connections():
+    """Return how many connections leave descriptors for those to other hosts."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return (
+        sys.maxsize if soft == resource.RLIM_INFINITY else int(soft * CONNECTION_SHARE)
+    )
+
+
 class CallerServer:
     """Serves the connections of callers.
 
@@ -356,6 +376,7 @@
         self.buffered_bytes = 0
         self._get_limits = get_limits
         self._connections = set()
+        self._maximum_connections = _compute_maximum_connections()
         self._loop = loop
         self._delayed = collections.deque()
         self.limit_unread = loop.coalesce(self._cut_slow_readers)
@@ -379,6 +400,8 @@
     def accept(self, stream, host):
         """Serve a new connection; called by a listener."""
         self._connections.add(CallerConnection(server=self, stream=stream, host=host))
+        if self.connection_count > self._maximum_connections:
+            self._close_least_active()
 
     def remove(self, connection):
         """Stop tracking a connection."""
@@ -467,7 +490,25 @@
         ]:
             connection.close()
 
+    def _close_least_active(self):
+        """Close a share of the connections, those first that sent nothing for longest.
+
+        Connections whose requests are served stay.
+        """
+        count = self.connection_count - int(self._maximum_connections * KEPT_SHARE)
+        waiting = [
+            connection for connection in self._connections if not connection.is_serving
+        ]
+        logger.info("entry: There are too many connections; %d are closed.", count)
+        for connection in heapq.nsmallest(
+            count, waiting, key=lambda connection: connection.received_at
+        ):
+            connection.close()
+
     def _sweep(self):
         now = time.monotonic()
+        self._maximum_connections = _compute_maximum_connections()
+        if self.connection_count > self._maximum_connections:
+            self._close_least_active()
         for connection in list(self._connections):
             connection.check(now)
