Take an answer with a status that HTTP doesn't have for none

What callers saw: an upstream in trouble sent an answer with the status 000 (on other systems their clients got it as an answer). Here it was taken for an interim response: nobody got it, and its caller waited until the deadline for another one. A status above 599 was passed between daemons, and answered with 502 at the last moment.

Cause: all statuses below 200 counted as interim, and no status was checked where it is read.

Change: a status that is not from 100 to 599 is no response: the connection is closed, and the result of the request is unknown.

Evidence: test_a_status_that_http_does_not_have_is_no_answer fails before, 5 of 5.

--- a/src/jackdawlanding/wire/http.py
+++ b/src/jackdawlanding/wire/http.py
@@ -38,6 +38,7 @@
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 # Bytes that end a line or a head, or that no head has.
 _HEAD_ENDS = b"\r\n\0"
+_STATUSES = range(100, 600)
 _FINAL_STATUSES = range(200, 600)
 NO_BODY_STATUSES = frozenset({204, 304})
 _PHRASES = {status.value: status.phrase.encode() for status in http.HTTPStatus}
@@ -422,6 +423,8 @@
     def on_headers_complete(self):
         """Record the end of the head, which completes a response to HEAD."""
         self._has_progressed = True
+        if self._parser.get_status_code() not in _STATUSES:
+            raise ResponseError(f"{self._parser.get_status_code():03} is no status")
         self._make_index()
         self._is_framed = not _FRAMING_HEADERS.isdisjoint(self._index)
         self.has_head = self._parser.get_status_code() >= 200
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -192,6 +192,18 @@
 
 
 class ResponseReaderTest(unittest.TestCase):
+    def test_a_status_that_http_does_not_have_is_no_answer(self):
+        """An answer with the status 000 was waited out as if another one followed."""
+        for status in ("000", "001", "099", "600", "999"):
+            with self.subTest(status=status):
+                reader = http.ResponseReader()
+                with self.assertRaises(http.ResponseError):
+                    reader.feed(
+                        f"HTTP/1.1 {status} Odd\r\nContent-Length: 2\r\n\r\nok".encode()
+                    )
+                self.assertEqual(reader.ready, [])
+                self.assertFalse(reader.is_reusable)
+
     def test_a_response_without_a_length_ends_with_the_stream(self):
         reader = read_responses(b"HTTP/1.1 200 OK\r\n\r\nab", b"c")
         self.assertEqual(reader.ready, [])
