Receive one body of the largest size beside small requests

What callers saw: nothing yet, found on reading the diff. A small request that came while a body of 64 MiB was received took its room, so that the body was served on an idle deployment alone.

Cause: the size of the newcomer was set against all others, in place of the size of the largest.

Evidence: test_one_large_request_is_received_beside_small_ones fails before.

--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -426,7 +426,7 @@
         first.
         """
         while not memory.has_room(
-            held=self.buffered_bytes, by_newcomer=newcomer.held_bytes
+            held=self.buffered_bytes, by_largest=self._find_largest_bytes
         ):
             victim = self._find_victim(newcomer)
             if victim is None:
@@ -434,6 +434,11 @@
             victim.refuse_partial()
         return True
 
+    def _find_largest_bytes(self):
+        return max(
+            (connection.held_bytes for connection in self._connections), default=0
+        )
+
     def _find_victim(self, newcomer):
         stalled_since = time.monotonic() - STALL_SECONDS
         is_small = newcomer.held_bytes <= memory.LARGE_BYTES
--- a/src/jackdawlanding/mesh/memory.py
+++ b/src/jackdawlanding/mesh/memory.py
@@ -17,16 +17,15 @@
 LARGE_BYTES = 65536
 
 
-def has_room(*, held, by_newcomer):
-    """Return whether a request may be received on.
+def has_room(*, held, by_largest):
+    """Return whether there is room for the requests that are received or served.
 
-    One of any size may, where the others leave most of the room free.
+    One may have any size, while the others leave most of the room free.
 
-    :param held: the bytes of all requests that are received or served.
-    :param by_newcomer: those of the request.
+    :param held: the bytes of all of them.
+    :param by_largest: returns those of the connection that holds most.
     """
-    others = held - by_newcomer
-    return held <= MAXIMUM_REQUEST_BYTES or others <= FREE_REQUEST_BYTES
+    return held <= MAXIMUM_REQUEST_BYTES or held - by_largest() <= FREE_REQUEST_BYTES
 
 
 def make_parts(head, body):
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,6 +1,7 @@
 """One caller's connection: requests sent ahead, closing responses, limits."""
 
 import unittest
+from unittest import mock
 
 from hypothesis import settings, stateful, strategies
 
@@ -220,6 +221,30 @@
         self.assertEqual(self.serving.started, [])
         self.assertEqual(server.buffered_bytes, memory.MAXIMUM_REQUEST_BYTES)
 
+    def test_one_large_request_is_received_beside_small_ones(self):
+        """Each small one took the room of a body of the largest size."""
+        limits = LIMITS._replace(body_bytes=1 << 20)
+        server, streams = self.serving.server, [FakeStream() for _ in range(3)]
+        server._get_limits = lambda: limits
+        for stream in streams:
+            server.accept(stream, "10.0.0.1")
+        large, small, other = streams
+        with (
+            mock.patch.object(memory, "MAXIMUM_REQUEST_BYTES", 20_000),
+            mock.patch.object(memory, "FREE_REQUEST_BYTES", 10_000),
+        ):
+            head = b"POST /safe/1 HTTP/1.1\r\nContent-Length: 200000\r\n\r\n"
+            large.on_data(head + b"x" * 150_000)
+            small.on_data(b"POST /safe/2 HTTP/1.1\r\nContent-Length: 9\r\n\r\nx")
+            small.on_data(b"x" * 8)
+            self.assertEqual(large.sent + small.sent, b"")
+            self.assertEqual(self.serving.started, [2])
+            # Others that hold much as well are no calm.
+            other.on_data(head.replace(b"safe/1", b"safe/3") + b"x" * 70_000)
+            self.assertIn(b" 503 ", other.sent)
+            large.on_data(b"x" * 50_000)
+        self.assertEqual(self.serving.started, [2, 1])
+
     def test_bytes_of_many_pieces_are_read_one_connection_after_the_other(self):
         """Chunks of two bytes kept the daemon busy, and all others waiting."""
         server, chunks = self.serving.server, b"1\r\nx\r\n" * 1100
