Remember what an instance was before two removals in a row

What callers saw: a server that started anew after a restore got nothing for 6 s.

Cause: a removal that follows another, such as one of a malformed entry, forgot what the instance was before, and without it any return is held.

Change: it is kept over removals.

Evidence: test_a_start_that_is_newer_counts_at_once_after_two_removals fails before.

--- a/src/jackdawlanding/decisions/directory.py
+++ b/src/jackdawlanding/decisions/directory.py
@@ -317,11 +317,14 @@
     def _replace_record(self, now, instance, change):
         known = self._records.get(instance)
         before = known.backend if known else None
+        former = None
+        if change.backend is None and known:
+            former = known.backend or known.former
         record = Record(
             revision=change.revision,
             backend=change.backend,
             stored_at=now,
-            former=before if change.backend is None else None,
+            former=former,
         )
         self._store(instance, known, record)
         return _clear_warmth(before) != _clear_warmth(change.backend)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -365,6 +365,12 @@
             self.end_listing(era, 5, "i-1", now=era)
             self.assertEqual(self.directory.shareable_revision, before)
 
+    def test_a_start_that_is_newer_counts_at_once_after_two_removals(self):
+        """What the instance was before the first removal was forgotten."""
+        self.put(1, 9, None)
+        self.put(1, 10, None)
+        self.assertTrue(self.put(2, 8, make_backend(born=4), now=1.0))
+
     def test_a_first_listing_is_held_for_nothing(self):
         self.directory = directory.Directory()
         self.put(7, 5, make_backend(born=3))
