Note held changes without a look at all of them

What callers saw: nothing measured; a restored store that lacks many entries would stop the loops of all daemons for seconds.

Cause: each record that was put while changes were held compared all held changes with those of before.

Change: only the instance that was put is looked at.

--- a/src/jackdawlanding/mesh/gossip.py
+++ b/src/jackdawlanding/mesh/gossip.py
@@ -123,12 +123,13 @@
 
     def put(self, *, instance, revision, backend, source):
         """Store one record of the directory; return whether it changed anything."""
-        held = set(self.directory.held_changes)
+        was_held = instance in self.directory.held_changes
         contested_count = self.directory.contested_count
         changed = self.directory.put(
             now=time.monotonic(), instance=instance, revision=revision, backend=backend
         )
-        self._note_held(held, source)
+        if not was_held:
+            self._note_held({instance}, source)
         if self.directory.contested_count > contested_count:
             self._log.note(
                 "directory",
@@ -153,11 +154,11 @@
 
     def remove_unlisted(self, *, names, revision, source):
         """Remove the instances that a complete listing does not name."""
-        held = set(self.directory.held_changes)
+        held_before = set(self.directory.held_changes)
         removed = self.directory.remove_unlisted(
             now=time.monotonic(), names=names, revision=revision
         )
-        self._note_held(held, source)
+        self._note_held(self.directory.held_changes.keys() - held_before, source)
         for instance in removed:
             self._log.note(
                 "directory",
@@ -240,16 +241,16 @@
         ]
         return any(is_new)
 
-    def _note_held(self, before, source):
-        for instance, held in self.directory.held_changes.items():
-            if instance not in before:
-                self._log.note(
-                    "directory",
-                    "A change is held.",
-                    instance=instance,
-                    state=_describe(held.backend),
-                    source=source,
-                )
+    def _note_held(self, instances, source):
+        """Log the changes of those of some instances that have a held one."""
+        for instance in instances & self.directory.held_changes.keys():
+            self._log.note(
+                "directory",
+                "A change is held.",
+                instance=instance,
+                state=_describe(self.directory.held_changes[instance].backend),
+                source=source,
+            )
 
     def _try_decode(self, data, *, service):
         try:
