Read large answers of peers one after the other

What callers saw: a daemon of twelve took 251 to 327 MB while 200 callers asked for answers of 12 MB at once, and read them slowly.

Cause: answers that are under way on the links of all peers were bounded by nothing; those of unknown size find room before the first one is there. The buffer of a link kept its largest size while messages followed each other without a gap.

A link that is not read for that is not taken for silent. After a large message a link begins with a new buffer.

--- a/src/jackdawlanding/mesh/codec.py
+++ b/src/jackdawlanding/mesh/codec.py
@@ -98,9 +98,7 @@
         received = []
         self._fed += len(data)
         end = 0
-        unpacker = self._unpacker or msgpack.Unpacker(
-            read_size=READ_BUFFER_BYTES, max_buffer_size=MAXIMUM_MESSAGE_BYTES
-        )
+        unpacker = self._unpacker or _make_unpacker()
         try:
             unpacker.feed(data)
             for values in unpacker:
@@ -122,10 +120,19 @@
         if end == self._fed:
             self._unpacker = None
             self._fed = 0
+        elif end > memory.LARGE_BYTES:
+            self._restart(data[len(data) - (self._fed - end) :])
         else:
             self._unpacker = unpacker
         return received
 
+    def _restart(self, rest):
+        """Begin with a new buffer after a large message."""
+        self._unpacker = _make_unpacker()
+        self._unpacker.feed(rest)
+        self._fed = len(rest)
+        self.pending_bytes = self._fed
+
     def _decode_compressed(self, compressed, body):
         if self._decompressor is None:
             self._decompressor = zlib.decompressobj(-WINDOW_BITS)
@@ -138,6 +145,12 @@
         return message._replace(body=body) if body else message
 
 
+def _make_unpacker():
+    return msgpack.Unpacker(
+        read_size=READ_BUFFER_BYTES, max_buffer_size=MAXIMUM_MESSAGE_BYTES
+    )
+
+
 def _pack_parts(values, place):
     """Pack an array as parts; the value at ``place`` is not copied if it is large."""
     body = values[place]
--- a/src/jackdawlanding/mesh/links.py
+++ b/src/jackdawlanding/mesh/links.py
@@ -11,7 +11,7 @@
 import time
 
 from jackdawlanding.decisions import outcomes
-from jackdawlanding.mesh import codec, messages, streams
+from jackdawlanding.mesh import codec, memory, messages, streams
 
 logger = logging.getLogger("jackdaw.links")
 
@@ -48,10 +48,24 @@
     :param is_in_other_region: tells whether a failure domain is in another region.
     :param on_message: called with the link and each message that does not belong
         to a call or to the link itself.
+    :param limit_reading: called when a large message begins or ends to arrive.
     """
 
-    def __init__(self, *, loop, address, make_hello, is_in_other_region, on_message):
+    def __init__(
+        self,
+        *,
+        loop,
+        address,
+        make_hello,
+        is_in_other_region,
+        on_message,
+        limit_reading,
+    ):
         self._loop = loop
+        self._limit_reading = limit_reading
+        # Since when a large message is arriving, ``None`` if none is.
+        self.large_since = None
+        self._is_paused = False
         self.address = address
         self._make_hello = make_hello
         self._is_in_other_region = is_in_other_region
@@ -80,6 +94,20 @@
         """The number of calls without a reply."""
         return len(self._pending)
 
+    @property
+    def pending_bytes(self):
+        """The size of the part of a message that was received."""
+        return self._decoder.pending_bytes if self._decoder else 0
+
+    def set_paused(self, is_paused):
+        """Stop reading, or read on."""
+        if is_paused == self._is_paused:
+            return
+        self._is_paused = is_paused
+        self._last_received_at = time.monotonic()
+        if self._stream is not None:
+            (self._stream.pause if is_paused else self._stream.resume)()
+
     @property
     def peer_incarnation(self):
         """The incarnation in the last :class:`messages.Welcome`, ``""`` if none."""
@@ -153,6 +181,8 @@
 
     def _check_silence(self, now):
         """Return whether a ping was not answered in time; send one if it is due."""
+        if self._is_paused:
+            return False
         if self._pinged_at > self._last_received_at:
             return now - self._pinged_at > PING_TIMEOUT_SECONDS
         if self._is_ping_due(now):
@@ -178,6 +208,8 @@
     def _open(self):
         self._encoder = codec.Encoder()
         self._decoder = codec.Decoder()
+        self._is_paused = False
+        self.large_since = None
         self._opened_at = self._last_received_at = time.monotonic()
         self._pinged_at = 0.0
         self._stream = streams.connect(loop=self._loop, address=self.address)
@@ -211,6 +243,18 @@
                 logger.exception("links: a message of %s failed.", self.address[0])
                 if self._stream is stream:
                     self._handle_loss("malformed")
+        if self._stream is stream:
+            self._note_large()
+
+    def _note_large(self):
+        is_large = self.pending_bytes > memory.LARGE_BYTES
+        if not is_large and self.large_since is None:
+            return
+        if not is_large:
+            self.large_since = None
+        elif self.large_since is None:
+            self.large_since = time.monotonic()
+        self._limit_reading()
 
     def _dispatch(self, message):
         if isinstance(message, messages.Reply):
@@ -364,9 +408,23 @@
                 make_hello=self._make_hello,
                 is_in_other_region=self._is_in_other_region,
                 on_message=self._on_message,
+                limit_reading=self._limit_reading,
             )
         return link
 
+    def _limit_reading(self):
+        """Read large messages one after the other where they are too many."""
+        large = [link for link in self._links.values() if link.large_since is not None]
+        if not large:
+            return
+        large.sort(key=lambda link: link.large_since)
+        arriving = sum(link.pending_bytes for link in large)
+        readable = memory.count_readable(
+            held=0, arriving=arriving + self._loop.unsent_bytes, count=len(large)
+        )
+        for place, link in enumerate(large):
+            link.set_paused(place >= readable)
+
     def _make_hello(self):
         return messages.Hello(
             number=next(self._link_numbers),
@@ -379,6 +437,7 @@
         now = time.monotonic()
         for link in list(self._links.values()):
             link.tick(now)
+        self._limit_reading()
 
     def retain_only(self, hosts):
         """Close links to hosts not in ``hosts``, unless calls are pending."""
--- a/tests/simulatedlinks.py
+++ b/tests/simulatedlinks.py
@@ -53,6 +53,16 @@
         if not self.is_closed:
             (self.sent if self.is_open else self.buffer).append(bytes(data))
 
+    def write_all(self, parts):
+        for part in parts:
+            self.write(part)
+
+    def pause(self):
+        pass
+
+    def resume(self):
+        pass
+
     def close(self):
         if not self.is_closed:
             self.is_open, self.is_closed = False, True
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -96,6 +96,26 @@
             self.assertEqual(len(decoder.feed(data[30000:])), 1)
         self.assertLess(tracemalloc.get_traced_memory()[0], 100 * 500)
 
+    def test_a_large_message_leaves_no_buffer_behind_it(self):
+        """The buffer stayed while messages followed each other without a gap."""
+        decoders = [codec.Decoder() for _ in range(10)]
+        data = codec.Encoder().encode(make_call(1, body=bytes(1 << 20)))
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for decoder in decoders:
+            for start in range(0, len(data), 65536):
+                decoder.feed(data[start : start + 65536] if start else data[:65536])
+            self.assertEqual(decoder.feed(data[:10]), [])
+            decoder.feed(data[10:65536])
+        # Now each message ends in bytes that begin the next one.
+        stream = data[65536:] + data[:10]
+        for decoder in decoders:
+            received = decoder.feed(stream)
+            self.assertEqual([message.number for message in received], [1])
+            self.assertEqual(decoder.pending_bytes, 10)
+        del received, stream
+        self.assertLess(tracemalloc.get_traced_memory()[0], 10 * 65536)
+
     def test_a_message_without_end_is_an_error(self):
         decoder = codec.Decoder()
         decoder.feed(b"\x92\x02\xc6\xff\xff\xff\xff")
