Read nothing of a connection after a part of a request was refused

What callers saw: nothing; found on reading the diff. A connection that was refused while another request of it runs, and then broke, logged an exception for each of its last bytes.

Cause: reading pauses then, but a connection that breaks is read all the same, and its reader was closed.

Change: what follows a refused part is dropped.

Evidence: test_what_follows_a_refused_part_is_not_read fails before.

--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -156,6 +156,8 @@
         self._on_closed(False)
 
     def _on_data(self, data):
+        if self._refusal is not None:
+            return
         now = self.received_at = time.monotonic()
         if not self._entries and (self._reader.has_head or not self._reader.has_begun):
             self.waiting_since = now
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -245,6 +245,17 @@
             large.on_data(b"x" * 50_000)
         self.assertEqual(self.serving.started, [2, 1])
 
+    def test_what_follows_a_refused_part_is_not_read(self):
+        """A paused connection is read once more when it breaks."""
+        self.serving.send(1)
+        (connection,) = self.serving.server._connections
+        self.serving.stream.on_data(b"POST /safe/2 HTTP/1.1\r\n")
+        connection.refuse_partial()
+        self.serving.stream.on_data(b"Content-Length: 0\r\n\r\n")
+        self.serving.respond(1)
+        self.assertEqual(self.serving.read_responses(), [(200, "1"), (503, "")])
+        self.assertEqual(self.serving.server.buffered_bytes, 0)
+
     def test_bytes_of_many_pieces_are_read_one_connection_after_the_other(self):
         """Chunks of two bytes kept the daemon busy, and all others waiting."""
         server, chunks = self.serving.server, b"1\r\nx\r\n" * 1100
