Pass on the turn of a large answer that is lost with its link

What callers saw: after the link to a peer was lost in the middle of a large answer that nobody awaited any more, no large answer of any peer was read, and no small one behind it, until that link was used again: 504 and 502 for ordinary orders.

A link that was lost with no call pending kept its turn.

Change: the turn ends with the connection, on both sides.

Evidence: found by tracing the red test of many peers with the states of the links; test_a_link_that_is_lost_leaves_its_turn_to_others fails before.

--- a/src/jackdawlanding/mesh/links.py
+++ b/src/jackdawlanding/mesh/links.py
@@ -208,8 +208,7 @@
     def _open(self):
         self._encoder = codec.Encoder()
         self._decoder = codec.Decoder()
-        self._is_paused = False
-        self.large_since = None
+        self._forget_large()
         self._opened_at = self._last_received_at = time.monotonic()
         self._pinged_at = 0.0
         self._stream = streams.connect(loop=self._loop, address=self.address)
@@ -246,6 +245,11 @@
         if self._stream is stream:
             self._note_large()
 
+    def _forget_large(self):
+        """Leave the turn of a message that is lost with its connection to others."""
+        self._is_paused = False
+        self.large_since = None
+
     def _note_large(self):
         is_large = self.pending_bytes > memory.LARGE_BYTES
         if not is_large and self.large_since is None:
@@ -299,6 +303,7 @@
         was_open, self._was_open = self._was_open, False
         self._stream.close()
         self._stream = None
+        self._forget_large()
         self._fail_unsent(reason)
         now = time.monotonic()
         if not was_open:
--- a/src/jackdawlanding/mesh/serving.py
+++ b/src/jackdawlanding/mesh/serving.py
@@ -157,6 +157,8 @@
 
     def on_link_lost(self, link):
         """Let the safe calls of a lost link continue for a while, then cancel them."""
+        # The turn of a large message that is lost goes to other links.
+        link.large_since = None
         if link.hello and self._links.get(link.hello.incarnation) is link:
             self._loop.call_later(
                 ORPHAN_GRACE_SECONDS, lambda: self._cancel_orphans(link)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -392,6 +392,76 @@
         return b"".join(received)
 
 
+class LargeAnswersTest(unittest.TestCase):
+    """Answers of two hosts that are read one after the other."""
+
+    def setUp(self):
+        self.loop = eventloop.EventLoop()
+        self.addCleanup(self.loop.close)
+        port = meshes.find_free_port()
+        self.pool = links.LinkPool(
+            loop=self.loop,
+            port=port,
+            incarnation="caller-1",
+            failure_domain="a1",
+            is_in_other_region=lambda failure_domain: False,
+            on_message=lambda link, message: None,
+        )
+        self.loop.call_every(0.05, self.pool.tick)
+        self.replies = {}
+        self.hosts = ["127.0.0.1", "127.0.0.2"]
+        self.peers = {host: self.accept(host, port) for host in self.hosts}
+
+    def accept(self, host, port):
+        """Return the peer's end of a link with a call in flight."""
+        with socket.create_server((host, port)) as listener:
+            call = calls.make_call(port)
+            self.pool.get(host).call(
+                call, lambda reply: self.replies.setdefault(host, reply)
+            )
+            peer, _ = listener.accept()
+        self.addCleanup(peer.close)
+        peer.setblocking(False)
+        welcome = messages.Welcome(incarnation=host, failure_domain="a1")
+        self.send(peer, codec.Encoder().encode(welcome))
+        return peer
+
+    def send(self, peer, data):
+        data = memoryview(data)
+        for _ in range(2000):
+            if not data:
+                return
+            with contextlib.suppress(BlockingIOError):
+                data = data[peer.send(data) :]
+            self.run_once()
+
+    def run_once(self):
+        self.loop.call_later(0.005, lambda: None)
+        self.loop.run_once()
+
+    def make_reply(self, host, size):
+        (number,) = self.pool.get(host)._pending
+        reply = messages.make_failure(number, "", outcome=outcomes.Outcome.DONE)
+        reply = reply._replace(status=200, body=bytes(size))
+        return codec.Encoder().encode(reply)
+
+    def test_a_link_that_is_lost_leaves_its_turn_to_others(self):
+        """No answer of any peer was read any more."""
+        first, second = self.hosts
+        (number,) = self.pool.get(first)._pending
+        self.send(self.peers[first], self.make_reply(first, 14 << 20)[: 13 << 20])
+        answer = self.make_reply(second, 4 << 20)
+        self.send(self.peers[second], answer[: 1 << 20])
+        self.pool.get(first).cancel(number)
+        self.peers[first].close()
+        self.send(self.peers[second], answer[1 << 20 :])
+        end = time.monotonic() + STABLE_SECONDS
+        while second not in self.replies and time.monotonic() < end:
+            self.run_once()
+        self.assertIn(second, self.replies)
+        self.assertEqual(len(self.replies[second].body), 4 << 20)
+
+
 class InterRegionLinkTest(LinkTest):
     """The same between regions, where messages are compressed."""
 
