Let a link on which nothing comes leave its turn to others

Change: a turn ends where nothing comes for 0.1 s.

Evidence: test_a_link_on_which_nothing_comes_leaves_its_turn_to_others fails before.

--- a/src/jackdawlanding/mesh/links.py
+++ b/src/jackdawlanding/mesh/links.py
@@ -26,6 +26,8 @@
 # Calls to an unreachable host fail at once for this long.
 UNREACHABLE_RETRY_SECONDS = 1.0
 IDLE_TIMEOUT_SECONDS = 20.0
+# Large messages are read in turns, which end where nothing comes for this long.
+TURN_SECONDS = 0.1
 
 
 class PendingReply:
@@ -99,6 +101,13 @@
         """The size of the part of a message that was received."""
         return self._decoder.pending_bytes if self._decoder else 0
 
+    def pass_on_turn(self, now):
+        """Let other links read first, where nothing came for a while."""
+        if self._is_paused or self.large_since is None:
+            return
+        if now - self._last_received_at > TURN_SECONDS:
+            self.large_since = now
+
     def set_paused(self, is_paused):
         """Stop reading, or read on."""
         if is_paused == self._is_paused:
@@ -442,6 +451,7 @@
         now = time.monotonic()
         for link in list(self._links.values()):
             link.tick(now)
+            link.pass_on_turn(now)
         self._limit_reading()
 
     def retain_only(self, hosts):
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -445,21 +445,48 @@
         reply = reply._replace(status=200, body=bytes(size))
         return codec.Encoder().encode(reply)
 
-    def test_a_link_that_is_lost_leaves_its_turn_to_others(self):
-        """No answer of any peer was read any more."""
+    def run_until(self, condition):
+        end = time.monotonic() + STABLE_SECONDS
+        while not condition():
+            self.assertLess(time.monotonic(), end, "the condition did not hold in time")
+            self.run_once()
+
+    def begin_answers(self):
+        """Send the begin of two answers, too large to be read at once.
+
+        Return the rest of the second one.
+        """
         first, second = self.hosts
-        (number,) = self.pool.get(first)._pending
         self.send(self.peers[first], self.make_reply(first, 14 << 20)[: 13 << 20])
         answer = self.make_reply(second, 4 << 20)
         self.send(self.peers[second], answer[: 1 << 20])
+        return answer[1 << 20 :]
+
+    def check_second(self, rest):
+        """Check that the second answer is read whole."""
+        second = self.hosts[1]
+        self.send(self.peers[second], rest)
+        self.run_until(lambda: second in self.replies)
+        self.assertEqual(len(self.replies[second].body), 4 << 20)
+
+    def test_a_link_that_is_lost_leaves_its_turn_to_others(self):
+        """No answer of any peer was read any more."""
+        first = self.hosts[0]
+        (number,) = self.pool.get(first)._pending
+        rest = self.begin_answers()
         self.pool.get(first).cancel(number)
         self.peers[first].close()
-        self.send(self.peers[second], answer[1 << 20 :])
-        end = time.monotonic() + STABLE_SECONDS
-        while second not in self.replies and time.monotonic() < end:
-            self.run_once()
-        self.assertIn(second, self.replies)
-        self.assertEqual(len(self.replies[second].body), 4 << 20)
+        self.check_second(rest)
+
+    def test_a_link_on_which_nothing_comes_leaves_its_turn_to_others(self):
+        """All others waited until it was lost, a second or more for each such link."""
+        first, second = map(self.pool.get, self.hosts)
+        stream = first._stream
+        rest = self.begin_answers()
+        self.run_until(lambda: second._is_paused or self.replies)
+        self.run_until(lambda: not second._is_paused)
+        self.assertIs(first._stream, stream)
+        self.check_second(rest)
 
 
 class InterRegionLinkTest(LinkTest):
