Let silent calls and answers of servers leave their turn as well

What callers saw: one daemon that fell silent in the middle of a large call kept all others from theirs, for good where its connection was not reset.

Change: one module for turns, used by all three.

--- a/src/jackdawlanding/mesh/backends.py
+++ b/src/jackdawlanding/mesh/backends.py
@@ -10,7 +10,7 @@
 import time
 import typing
 
-from jackdawlanding.mesh import memory, streams
+from jackdawlanding.mesh import memory, streams, turns
 from jackdawlanding.wire import http, sockets
 
 logger = logging.getLogger("jackdaw.backends")
@@ -51,11 +51,11 @@
         self._id_hashes = set()
         self.stream = stream
         self._connect_timer = connect_timer
-        self.started_at = 0.0
         self.idle_since = 0.0
         self.idle_seconds = IDLE_SECONDS
         self.attempt = None
         self.reader = http.ResponseReader()
+        self.turn = turns.Turn()
         self.was_opened = False
         self._stray_count = 0
         stream.reads_after_error = True
@@ -65,7 +65,6 @@
 
     def start(self, attempt):
         self.attempt = attempt
-        self.started_at = time.monotonic()
         self._id_hashes.add(hash(attempt.request_id))
         self._stray_count = 0
         if attempt.is_head:
@@ -100,6 +99,7 @@
         elif not is_valid or self._stray_count > MAXIMUM_STRAY_RESPONSES:
             self.fail("garbled")
         elif self.reader.body_bytes > memory.LARGE_BYTES:
+            self.turn.record(now=time.monotonic(), is_large=True)
             self.pool.limit_reading()
 
     def _feed(self, data):
@@ -120,6 +120,7 @@
         return None
 
     def _finish(self, response, must_close):
+        self.turn.end()
         attempt, self.attempt = self.attempt, None
         must_close = (
             must_close
@@ -230,20 +231,14 @@
         None is read while callers and peers alone have too much left to read.
         """
         large = [
-            connection
-            for connection in self._open
-            if connection.reader.body_bytes > memory.LARGE_BYTES
+            connection for connection in self._open if connection.turn.since is not None
         ]
-        large.sort(key=lambda connection: connection.started_at)
-        readable = memory.count_readable(
+        count = memory.count_readable(
             held=self._loop.unsent_bytes,
             arriving=sum(connection.reader.body_bytes for connection in large),
             count=len(large),
         )
-        for connection in large[:readable]:
-            connection.stream.resume()
-        for connection in large[readable:]:
-            connection.stream.pause()
+        turns.share(large, count=count, now=time.monotonic())
 
     def sweep(self):
         """Close connections that have been idle for too long; read on where it may."""
--- a/src/jackdawlanding/mesh/links.py
+++ b/src/jackdawlanding/mesh/links.py
@@ -11,7 +11,7 @@
 import time
 
 from jackdawlanding.decisions import outcomes
-from jackdawlanding.mesh import codec, memory, messages, streams
+from jackdawlanding.mesh import codec, memory, messages, streams, turns
 
 logger = logging.getLogger("jackdaw.links")
 
@@ -26,8 +26,6 @@
 # Calls to an unreachable host fail at once for this long.
 UNREACHABLE_RETRY_SECONDS = 1.0
 IDLE_TIMEOUT_SECONDS = 20.0
-# Large messages are read in turns, which end where nothing comes for this long.
-TURN_SECONDS = 0.1
 
 
 class PendingReply:
@@ -65,9 +63,7 @@
     ):
         self._loop = loop
         self._limit_reading = limit_reading
-        # Since when a large message is arriving, ``None`` if none is.
-        self.large_since = None
-        self._is_paused = False
+        self.turn = turns.Turn()
         self.address = address
         self._make_hello = make_hello
         self._is_in_other_region = is_in_other_region
@@ -101,21 +97,10 @@
         """The size of the part of a message that was received."""
         return self._decoder.pending_bytes if self._decoder else 0
 
-    def pass_on_turn(self, now):
-        """Let other links read first, where nothing came for a while."""
-        if self._is_paused or self.large_since is None:
-            return
-        if now - self._last_received_at > TURN_SECONDS:
-            self.large_since = now
-
-    def set_paused(self, is_paused):
-        """Stop reading, or read on."""
-        if is_paused == self._is_paused:
-            return
-        self._is_paused = is_paused
-        self._last_received_at = time.monotonic()
-        if self._stream is not None:
-            (self._stream.pause if is_paused else self._stream.resume)()
+    @property
+    def stream(self):
+        """The stream of the current connection, ``None`` without one."""
+        return self._stream
 
     @property
     def peer_incarnation(self):
@@ -190,7 +175,8 @@
 
     def _check_silence(self, now):
         """Return whether a ping was not answered in time; send one if it is due."""
-        if self._is_paused:
+        if self._stream.is_paused:
+            self._last_received_at = now
             return False
         if self._pinged_at > self._last_received_at:
             return now - self._pinged_at > PING_TIMEOUT_SECONDS
@@ -217,7 +203,7 @@
     def _open(self):
         self._encoder = codec.Encoder()
         self._decoder = codec.Decoder()
-        self._forget_large()
+        self.turn.end()
         self._opened_at = self._last_received_at = time.monotonic()
         self._pinged_at = 0.0
         self._stream = streams.connect(loop=self._loop, address=self.address)
@@ -252,22 +238,14 @@
                 if self._stream is stream:
                     self._handle_loss("malformed")
         if self._stream is stream:
-            self._note_large()
-
-    def _forget_large(self):
-        """Leave the turn of a message that is lost with its connection to others."""
-        self._is_paused = False
-        self.large_since = None
+            self._record_turn()
 
-    def _note_large(self):
+    def _record_turn(self):
+        was_due = self.turn.since is not None
         is_large = self.pending_bytes > memory.LARGE_BYTES
-        if not is_large and self.large_since is None:
-            return
-        if not is_large:
-            self.large_since = None
-        elif self.large_since is None:
-            self.large_since = time.monotonic()
-        self._limit_reading()
+        self.turn.record(now=self._last_received_at, is_large=is_large)
+        if was_due or is_large:
+            self._limit_reading()
 
     def _dispatch(self, message):
         if isinstance(message, messages.Reply):
@@ -312,7 +290,7 @@
         was_open, self._was_open = self._was_open, False
         self._stream.close()
         self._stream = None
-        self._forget_large()
+        self.turn.end()
         self._fail_unsent(reason)
         now = time.monotonic()
         if not was_open:
@@ -428,16 +406,18 @@
 
     def _limit_reading(self):
         """Read large messages one after the other where they are too many."""
-        large = [link for link in self._links.values() if link.large_since is not None]
+        large = [
+            link
+            for link in self._links.values()
+            if link.turn.since is not None and link.stream is not None
+        ]
         if not large:
             return
-        large.sort(key=lambda link: link.large_since)
         arriving = sum(link.pending_bytes for link in large)
-        readable = memory.count_readable(
+        count = memory.count_readable(
             held=0, arriving=arriving + self._loop.unsent_bytes, count=len(large)
         )
-        for place, link in enumerate(large):
-            link.set_paused(place >= readable)
+        turns.share(large, count=count, now=time.monotonic())
 
     def _make_hello(self):
         return messages.Hello(
@@ -451,7 +431,6 @@
         now = time.monotonic()
         for link in list(self._links.values()):
             link.tick(now)
-            link.pass_on_turn(now)
         self._limit_reading()
 
     def retain_only(self, hosts):
--- a/src/jackdawlanding/mesh/serving.py
+++ b/src/jackdawlanding/mesh/serving.py
@@ -4,7 +4,7 @@
 import time
 
 from jackdawlanding.decisions import outcomes
-from jackdawlanding.mesh import codec, memory, messages
+from jackdawlanding.mesh import codec, memory, messages, turns
 
 logger = logging.getLogger("jackdaw.links")
 
@@ -42,8 +42,7 @@
         self._encoder = codec.Encoder()
         self._decoder = codec.Decoder()
         self.hello = None
-        # Since when a large message is arriving, ``None`` if none is.
-        self.large_since = None
+        self.turn = turns.Turn()
         stream.on_data = self._on_data
         stream.on_closed = lambda was_reset: server.on_link_lost(self)
 
@@ -79,16 +78,10 @@
                 self.stream.close()
                 self._server.on_link_lost(self)
                 return
-        self._note_large()
-
-    def _note_large(self):
-        """Let large messages be read one after the other where they are too many."""
-        if self.pending_bytes <= memory.LARGE_BYTES:
-            self.large_since = None
-            return
-        if self.large_since is None:
-            self.large_since = time.monotonic()
-        self._server.limit_reading()
+        is_large = self.pending_bytes > memory.LARGE_BYTES
+        self.turn.record(now=time.monotonic(), is_large=is_large)
+        if is_large:
+            self._server.limit_reading()
 
 
 class LinkServer:
@@ -157,8 +150,7 @@
 
     def on_link_lost(self, link):
         """Let the safe calls of a lost link continue for a while, then cancel them."""
-        # The turn of a large message that is lost goes to other links.
-        link.large_since = None
+        link.turn.end()
         if link.hello and self._links.get(link.hello.incarnation) is link:
             self._loop.call_later(
                 ORPHAN_GRACE_SECONDS, lambda: self._cancel_orphans(link)
@@ -169,25 +161,21 @@
 
         None is read while the calls that run hold too much: they end by themselves.
         """
-        large = [link for link in self._links.values() if link.large_since is not None]
+        large = [link for link in self._links.values() if link.turn.since is not None]
         if not large:
             return
-        large.sort(key=lambda link: link.large_since)
         running = sum(
             served.body_bytes
             for served in self._served.values()
             if served.execution is not None
         )
         arriving = sum(link.pending_bytes for link in large)
-        readable = memory.count_readable(
+        count = memory.count_readable(
             held=running,
             arriving=arriving + self._loop.unsent_bytes,
             count=len(large),
         )
-        for link in large[:readable]:
-            link.stream.resume()
-        for link in large[readable:]:
-            link.stream.pause()
+        turns.share(large, count=count, now=time.monotonic())
 
     def sweep(self):
         """Read on where it may be; remove what was retained for long enough."""
--- a/src/jackdawlanding/mesh/streams.py
+++ b/src/jackdawlanding/mesh/streams.py
@@ -76,6 +76,11 @@
         """Whether the connection is established and not closed."""
         return not self.is_closed and not self._is_connecting
 
+    @property
+    def is_paused(self):
+        """Whether nothing is read until :meth:`resume`."""
+        return self._is_paused
+
     @property
     def unsent(self):
         """The number of bytes that are not sent yet."""
--- a/tests/simulatedlinks.py
+++ b/tests/simulatedlinks.py
@@ -40,7 +40,7 @@
 
     def __init__(self, *, is_open):
         self.is_open = is_open
-        self.is_closed = False
+        self.is_closed = self.is_paused = False
         self.unsent = 0
         self.reads_after_error = False
         self.on_open = self.on_data = self.on_closed = None
@@ -57,12 +57,6 @@
         for part in parts:
             self.write(part)
 
-    def pause(self):
-        pass
-
-    def resume(self):
-        pass
-
     def close(self):
         if not self.is_closed:
             self.is_open, self.is_closed = False, True
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -107,6 +107,36 @@
         self.run_until(lambda: len(self.replies) == 3)
         self.assertEqual(self.replies[2].status, 200)
 
+    def test_a_call_that_does_not_go_on_holds_up_no_other(self):
+        """A daemon that fell silent in a large call kept all others from theirs."""
+        rests = []
+        for number, size, sent in ((1, 14 << 20, 13 << 20), (2, 4 << 20, 1 << 20)):
+            peer = socket.create_connection((HOST, self.listener.port))
+            self.addCleanup(peer.close)
+            peer.setblocking(False)
+            hello = messages.Hello(
+                number=1, incarnation=f"caller-{number}", failure_domain="a1"
+            )
+            encoder = codec.Encoder()
+            call = calls.make_call(number, body=bytes(size))
+            data = memoryview(encoder.encode(hello) + encoder.encode(call))
+            self.send_slowly(peer, data[:sent])
+            rests.append((peer, data[sent:]))
+        self.send_slowly(*rests[1])
+        self.run_until(lambda: 2 in self.executor.calls)
+        self.assertNotIn(1, self.executor.calls)
+        self.send_slowly(*rests[0])
+        self.run_until(lambda: 1 in self.executor.calls)
+
+    def send_slowly(self, peer, data):
+        """Send as much as is taken, while the daemons run."""
+        end = time.monotonic() + STABLE_SECONDS
+        while data and time.monotonic() < end:
+            with contextlib.suppress(BlockingIOError):
+                data = data[peer.send(data) :]
+            self.loop.call_later(0.002, lambda: None)
+            self.loop.run_once()
+
     def test_a_call_survives_its_connection(self):
         for fail in (self.proxy.reset_all, self.proxy.go_silent):
             with self.subTest(fail=fail.__name__):
@@ -483,8 +513,8 @@
         first, second = map(self.pool.get, self.hosts)
         stream = first._stream
         rest = self.begin_answers()
-        self.run_until(lambda: second._is_paused or self.replies)
-        self.run_until(lambda: not second._is_paused)
+        self.run_until(lambda: second.stream.is_paused or self.replies)
+        self.run_until(lambda: not second.stream.is_paused)
         self.assertIs(first._stream, stream)
         self.check_second(rest)
 
