Read one connection of many small pieces without a delay

Cause: since such a connection waited 20 ms after each 64 KB, also where no other one did.

Change: the first that waits reads on in the next iteration of the loop; only those behind it wait.

Evidence: test_bytes_of_many_pieces_are_read_one_connection_after_the_other fails before.

--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -410,10 +410,13 @@
         self._connections.discard(connection)
 
     def delay_reading(self, connection):
-        """Let a connection read on after those that were delayed before it."""
+        """Let a connection read on after those that were delayed before it.
+
+        One alone is read as fast as it sends, in turn with all other events.
+        """
         self._delayed.append(connection)
         if len(self._delayed) == 1:
-            self._loop.call_later(DELAYED_READ_SECONDS, self._end_delay)
+            self._loop.call_soon(self._end_delay)
 
     def _end_delay(self):
         self._delayed.popleft().read_on()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -66,7 +66,7 @@
         return callback
 
     def __init__(self):
-        self.timers = []
+        self.timers, self.soon = [], []
 
     def call_every(self, seconds, callback):
         pass
@@ -74,6 +74,9 @@
     def call_later(self, seconds, callback):
         self.timers.append(callback)
 
+    def call_soon(self, callback):
+        self.soon.append(callback)
+
 
 class FakeServing:
     """Serves requests until the test responds to them."""
@@ -266,11 +269,17 @@
         for stream in streams:
             server.accept(stream, "10.0.0.1")
             stream.on_data(head + chunks)
-        for paused in (3, 2, 1, 0):
+        # The first one doesn't wait: alone it is read as fast as it can be.
+        self.assertEqual(sum(stream.is_paused for stream in streams), 3)
+        (read_on,), timers = self.serving.loop.soon, self.serving.loop.timers
+        self.assertEqual(timers, [])
+        read_on()
+        for paused in (2, 1):
             self.assertEqual(sum(stream.is_paused for stream in streams), paused)
-            self.assertEqual(len(self.serving.loop.timers), int(paused > 0))
-            for callback in [self.serving.loop.timers.pop()] if paused else ():
-                callback()
+            self.assertEqual(len(timers), 1)
+            timers.pop()()
+        self.assertEqual(sum(stream.is_paused for stream in streams), 0)
+        self.assertEqual(timers, [])
 
     def test_the_caller_s_leave_cancels_all_and_frees_the_buffers(self):
         self.serving.send(0, body=b"x" * 80)
