Look at other connections only for what needs room

What callers saw: nothing yet, found on reading the diff. While requests in service take all room, each ordinary request made a daemon look twice through all its connections, 3,000 at the most: a crowd could take the processor so.

Cause: room was asked for also by what is always served, one request of up to 16 KB.

Change: it asks no more.

Evidence: test_a_small_request_costs_no_look_at_other_connections fails before.

--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -179,7 +179,11 @@
     def _limit_buffers(self):
         """Count what is held; refuse what is too much and was not started."""
         self._count_buffered()
-        if self._refusal is None and not self._server.make_room(self):
+        if (
+            self._refusal is None
+            and self._needs_room
+            and not self._server.make_room(self)
+        ):
             self._refuse_waiting()
         # While one request alone is served, its caller's leave must be noticed.
         is_full = len(self._entries) > 1 and self._queued_bytes > MAXIMUM_QUEUED_BYTES
@@ -200,14 +204,21 @@
 
     def _refuse_waiting(self):
         """Drop what was not started, but for the first request if it is small."""
-        if not self._reader.has_begun and self._is_small_alone():
-            return
         self._refusal = BUFFERS_FULL
         self._reader.close()
         while len(self._entries) > self._started and not self._is_small_alone():
             self._queued_bytes -= self._entries.pop().held_bytes
         self._count_buffered()
 
+    @property
+    def _needs_room(self):
+        """Whether more is held than one small request, which is always served."""
+        return (
+            self._reader.has_begun
+            or len(self._entries) > 1
+            or self._queued_bytes > SMALL_BYTES
+        )
+
     def _is_small_alone(self):
         """Whether one request waits or runs, which takes little."""
         return len(self._entries) == 1 and self._queued_bytes <= SMALL_BYTES
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -224,6 +224,14 @@
         self.assertEqual(self.serving.started, [])
         self.assertEqual(server.buffered_bytes, memory.MAXIMUM_REQUEST_BYTES)
 
+    def test_a_small_request_costs_no_look_at_other_connections(self):
+        """Each one looked through all while there was no room."""
+        with mock.patch.object(memory, "has_room") as has_room:
+            self.serving.send(1, body=b"x" * 9)
+            self.serving.respond(1)
+            self.assertEqual(len(self.serving.read_responses()), 1)
+        has_room.assert_not_called()
+
     def test_one_large_request_is_received_beside_small_ones(self):
         """Each small one took the room of a body of the largest size."""
         limits = LIMITS._replace(body_bytes=1 << 20)
