--- a/src/jackdawlanding/mesh/app.py
+++ b/src/jackdawlanding/mesh/app.py
@@ -261,7 +261,7 @@
         gauges = {
             "connections": self.caller_server.connection_count,
             "unsent_bytes": self.loop.unsent_bytes,
-            "held_request_bytes": self.caller_server.buffered_bytes,
+            "held_request_bytes": self.caller_server.room.held_bytes,
             "requests_in_flight": self.dispatcher.in_flight,
             "host_running": self.executor.controller.running,
             "host_queued": self.executor.controller.queued,
--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -5,13 +5,10 @@
 """
 
 import collections
-import heapq
 import logging
-import resource
-import sys
 import time
 
-from jackdawlanding.mesh import memory, responses
+from jackdawlanding.mesh import callerroom, memory, responses
 from jackdawlanding.platform import headers
 from jackdawlanding.wire import http
 
@@ -28,16 +25,6 @@
 # One request that takes no more is served also where there is no room for others.
 SMALL_BYTES = 1 << 14
 MAXIMUM_UNSENT_BYTES = 1 << 18
-# Bytes that hold more headers and parts of bodies than this take long to parse. One
-# connection at a time reads on after such, at these intervals.
-MAXIMUM_PIECES = 1000
-DELAYED_READ_SECONDS = 0.02
-# The share of the process's descriptors that callers may take, and what remains of them
-# when some are closed.
-CONNECTION_SHARE = 0.75
-KEPT_SHARE = 0.95
-# A partial request that receives nothing for this long makes room for others.
-STALL_SECONDS = 1.0
 # The Retry-After value of a request beyond that: some others have ended by then.
 BUFFERS_RETRY_SECONDS = 1.0
 BUFFERS_FULL = responses.make_refusal(
@@ -165,9 +152,9 @@
             self._reader.feed(data)
         except http.RequestError as error:
             self._refusal = http.make_text_response(error.status, str(error))
-        if self._reader.piece_count > MAXIMUM_PIECES:
+        if self._reader.piece_count > callerroom.MAXIMUM_PIECES:
             self._is_delayed = True
-            self._server.delay_reading(self)
+            self._server.room.delay_reading(self)
         ready, self._reader.ready = self._reader.ready, []
         for request in ready:
             entry = _Entry(request=request, received_at=now)
@@ -182,7 +169,7 @@
         if (
             self._refusal is None
             and self._needs_room
-            and not self._server.make_room(self)
+            and not self._server.room.make_room(self)
         ):
             self._refuse_waiting()
         # While one request alone is served, its caller's leave must be noticed.
@@ -199,7 +186,7 @@
 
     def _count_buffered(self):
         buffered = self._queued_bytes + self._reader.held_bytes
-        self._server.buffered_bytes += buffered - self._buffered
+        self._server.room.held_bytes += buffered - self._buffered
         self._buffered = buffered
 
     def _refuse_waiting(self):
@@ -281,7 +268,7 @@
     def _may_start(self):
         if self.stream.is_closed or self.stream.unsent > MAXIMUM_UNSENT_BYTES:
             return False
-        if self.stream.unsent and self._server.has_much_unread:
+        if self.stream.unsent and self._server.room.has_much_unread:
             return False
         if self._started == len(self._entries):
             return False
@@ -316,7 +303,7 @@
             parts = _format_parts(UNWRITABLE, **options)
         self.stream.write_all(parts)
         if self.stream.unsent:
-            self._server.limit_unread()
+            self._server.room.limit_unread()
 
     def _end(self, *, lingers):
         """Close the connection once the last response is sent."""
@@ -340,7 +327,7 @@
         self._reader.close()
         entries, self._entries = self._entries, collections.deque()
         self._started = 0
-        self._server.buffered_bytes -= self._buffered
+        self._server.room.held_bytes -= self._buffered
         self._queued_bytes = self._buffered = 0
         for entry in entries:
             if entry.active is not None:
@@ -351,14 +338,6 @@
     return memory.make_parts(*http.format_response_parts(response, **options))
 
 
-def _compute_maximum_connections():
-    """Return how many connections leave descriptors for those to other hosts."""
-    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return (
-        sys.maxsize if soft == resource.RLIM_INFINITY else int(soft * CONNECTION_SHARE)
-    )
-
-
 class CallerServer:
     """Serves the connections of callers.
 
@@ -371,6 +350,8 @@
         connection.
     :param record_refusal: called with the response to an incomplete request, its
         ``request_id`` as bytes and the caller's ``host``.
+
+    ``room`` is the :class:`callerroom.CallerRoom` of all connections.
     """
 
     def __init__(
@@ -386,13 +367,9 @@
         self.may_overlap = may_overlap
         self.record_refusal = record_refusal
         self.is_shutting_down = False
-        self.buffered_bytes = 0
         self._get_limits = get_limits
         self._connections = set()
-        self._maximum_connections = _compute_maximum_connections()
-        self._loop = loop
-        self._delayed = collections.deque()
-        self.limit_unread = loop.coalesce(self._cut_slow_readers)
+        self.room = callerroom.CallerRoom(loop=loop, connections=self._connections)
         loop.call_every(SWEEP_SECONDS, self._sweep)
 
     @property
@@ -413,97 +390,12 @@
     def accept(self, stream, host):
         """Serve a new connection; called by a listener."""
         self._connections.add(CallerConnection(server=self, stream=stream, host=host))
-        if self.connection_count > self._maximum_connections:
-            self._close_least_active()
+        self.room.limit_connections()
 
     def remove(self, connection):
         """Stop tracking a connection."""
         self._connections.discard(connection)
 
-    def delay_reading(self, connection):
-        """Let a connection read on after those that were delayed before it.
-
-        One alone is read as fast as it sends, in turn with all other events.
-        """
-        self._delayed.append(connection)
-        if len(self._delayed) == 1:
-            self._loop.call_soon(self._end_delay)
-
-    def _end_delay(self):
-        self._delayed.popleft().read_on()
-        if self._delayed:
-            self._loop.call_later(DELAYED_READ_SECONDS, self._end_delay)
-
-    def make_room(self, newcomer):
-        """Return whether a connection may receive on, at the cost of others if needed.
-
-        Of the connections that await the rest of a request, those go first from which
-        nothing came for a while, then larger ones than a small newcomer; the largest
-        first.
-        """
-        while not memory.has_room(
-            held=self.buffered_bytes, by_largest=self._find_largest_bytes
-        ):
-            victim = self._find_victim(newcomer)
-            if victim is None:
-                return False
-            victim.refuse_partial()
-        return True
-
-    def _find_largest_bytes(self):
-        return max(
-            (connection.held_bytes for connection in self._connections), default=0
-        )
-
-    def _find_victim(self, newcomer):
-        stalled_since = time.monotonic() - STALL_SECONDS
-        is_small = newcomer.held_bytes <= memory.LARGE_BYTES
-        return max(
-            (
-                connection
-                for connection in self._connections
-                if connection is not newcomer
-                and connection.is_receiving
-                and (
-                    connection.received_at < stalled_since
-                    or (is_small and connection.held_bytes > newcomer.held_bytes)
-                )
-            ),
-            key=lambda connection: (
-                connection.received_at < stalled_since,
-                connection.held_bytes,
-            ),
-            default=None,
-        )
-
-    @property
-    def has_much_unread(self):
-        """Whether no further answer may wait behind one that was not read."""
-        return self._loop.unsent_bytes > memory.MAXIMUM_HELD_BYTES
-
-    def _cut_slow_readers(self):
-        """Close connections while answers that were not read take too much.
-
-        Those go first that read nothing for a while, and the largest first.
-        """
-        if self._loop.unsent_bytes <= memory.MAXIMUM_UNREAD_BYTES:
-            return
-        stalled_since = time.monotonic() - STALL_SECONDS
-        unread = sum(connection.stream.unsent for connection in self._connections)
-        for connection in sorted(
-            self._connections,
-            key=lambda connection: (
-                connection.read_at >= stalled_since,
-                -connection.stream.unsent,
-            ),
-        ):
-            if unread <= memory.MAXIMUM_UNREAD_BYTES:
-                return
-            if connection.stream.unsent:
-                unread -= connection.stream.unsent
-                logger.info("entry: A caller that reads slowly is cut off.")
-                connection.close()
-
     def close_idle(self):
         """Close idle connections."""
         for connection in [
@@ -511,25 +403,8 @@
         ]:
             connection.close()
 
-    def _close_least_active(self):
-        """Close a share of the connections, those first that sent nothing for longest.
-
-        Connections whose requests are served stay.
-        """
-        count = self.connection_count - int(self._maximum_connections * KEPT_SHARE)
-        waiting = [
-            connection for connection in self._connections if not connection.is_serving
-        ]
-        logger.info("entry: There are too many connections; %d are closed.", count)
-        for connection in heapq.nsmallest(
-            count, waiting, key=lambda connection: connection.received_at
-        ):
-            connection.close()
-
     def _sweep(self):
         now = time.monotonic()
-        self._maximum_connections = _compute_maximum_connections()
-        if self.connection_count > self._maximum_connections:
-            self._close_least_active()
+        self.room.sweep()
         for connection in list(self._connections):
             connection.check(now)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -215,14 +215,14 @@
     def test_large_requests_beyond_the_buffers_are_refused_as_not_run(self):
         """Many uploads at once filled the daemon's memory."""
         server = self.serving.server
-        server.buffered_bytes = memory.MAXIMUM_REQUEST_BYTES
+        server.room.held_bytes = memory.MAXIMUM_REQUEST_BYTES
         self.serving.stream.on_data(
             b"POST /unsafe/1 HTTP/1.1\r\nContent-Length: 90\r\n\r\n" + b"x" * 50
         )
         self.assertEqual(self.serving.read_responses(), [(503, "")])
         self.assertIn(b"Retry-After", self.serving.stream.sent)
         self.assertEqual(self.serving.started, [])
-        self.assertEqual(server.buffered_bytes, memory.MAXIMUM_REQUEST_BYTES)
+        self.assertEqual(server.room.held_bytes, memory.MAXIMUM_REQUEST_BYTES)
 
     def test_a_small_request_costs_no_look_at_other_connections(self):
         """Each one looked through all while there was no room."""
@@ -265,7 +265,7 @@
         self.serving.stream.on_data(b"Content-Length: 0\r\n\r\n")
         self.serving.respond(1)
         self.assertEqual(self.serving.read_responses(), [(200, "1"), (503, "")])
-        self.assertEqual(self.serving.server.buffered_bytes, 0)
+        self.assertEqual(self.serving.server.room.held_bytes, 0)
 
     def test_bytes_of_many_pieces_are_read_one_connection_after_the_other(self):
         """Chunks of two bytes kept the daemon busy, and all others waiting."""
@@ -294,10 +294,10 @@
         self.serving.send(1, body=b"x" * 80)
         # Each with a target of 7 characters, and one header of 16 and its separators.
         held = http.REQUEST_BYTES + http.HEADER_BYTES + 2 * (7 + 16 + 4) + 80
-        self.assertEqual(self.serving.server.buffered_bytes, 2 * held)
+        self.assertEqual(self.serving.server.room.held_bytes, 2 * held)
         self.serving.stream.on_closed(False)
         self.assertEqual(self.serving.cancelled, [0, 1])
-        self.assertEqual(self.serving.server.buffered_bytes, 0)
+        self.assertEqual(self.serving.server.room.held_bytes, 0)
 
 
 class ConnectionMachine(stateful.RuleBasedStateMachine):
@@ -388,7 +388,7 @@
     @stateful.invariant()
     def the_buffers_are_counted(self):
         if self.has_left or self.serving.stream.closes:
-            assert self.serving.server.buffered_bytes == 0
+            assert self.serving.server.room.held_bytes == 0
 
     def teardown(self):
         if self.has_left:
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -112,9 +112,9 @@
         sock.sendall(head + UPLOAD[:200_000])
         # A target of 7 characters, and three headers of 52 and their separators.
         held = 200_000 + 3 * http.HEADER_BYTES + 2 * (7 + 52 + 3 * 4)
-        meshes.wait_until(lambda: server.buffered_bytes == held)
+        meshes.wait_until(lambda: server.room.held_bytes == held)
         sock.close()
-        meshes.wait_until(lambda: server.buffered_bytes == 0)
+        meshes.wait_until(lambda: server.room.held_bytes == 0)
         self.assertNotIn("half", self.backend_servers["near"].runs)
 
     def test_uploads_beyond_the_buffers_are_refused_as_not_run(self):
@@ -145,7 +145,7 @@
         meshes.wait_until(
             lambda: (
                 memory.MAXIMUM_REQUEST_BYTES / 2
-                < server.buffered_bytes
+                < server.room.held_bytes
                 < memory.MAXIMUM_REQUEST_BYTES + (1 << 20)
             )
         )
@@ -158,7 +158,7 @@
                 answers.append(b"")
             sock.close()
         self.assertGreaterEqual(answers.count(b"HTTP/1.1 503 Service"), 1)
-        meshes.wait_until(lambda: server.buffered_bytes == 0)
+        meshes.wait_until(lambda: server.room.held_bytes == 0)
         self.assertEqual(self.upload("/near/after")[0], 200)
 
     def test_a_refused_caller_that_still_sends_gets_its_answer(self):
