Close callers that send more requests, and read no answer

What callers saw: nothing yet, found on reading the diff. Connections that had sent more requests than were answered, and read nothing, stayed open for good, however little they held; once they had three quarters of the descriptors, each new caller was closed in their place.

Cause: a connection with a request that waits was never idle, and counted as one in service, though it waits for its own caller to read.

Change: it is idle after the operator's time, and makes room for others after a second without reading. What waits has not been passed on to anybody.

Evidence: test_a_caller_that_reads_nothing_is_closed_though_it_sent_more and test_a_caller_that_reads_nothing_makes_room_for_others fail before.

--- a/src/jackdawlanding/mesh/callerroom.py
+++ b/src/jackdawlanding/mesh/callerroom.py
@@ -150,11 +150,14 @@
     def _close_least_active(self):
         """Close a share of the connections, those first that sent nothing for longest.
 
-        Connections whose requests are served stay.
+        Those whose requests are served, or that read an answer, stay.
         """
         count = len(self._connections) - int(self._maximum_connections * KEPT_SHARE)
+        now = time.monotonic()
         waiting = [
-            connection for connection in self._connections if not connection.is_serving
+            connection
+            for connection in self._connections
+            if connection.is_closable(now)
         ]
         least_active = heapq.nsmallest(
             count, waiting, key=lambda connection: connection.received_at
--- a/src/jackdawlanding/mesh/callers.py
+++ b/src/jackdawlanding/mesh/callers.py
@@ -106,10 +106,10 @@
         if not self.stream.is_closed:
             self._limit_buffers()
 
-    @property
-    def is_serving(self):
-        """Whether a request is served, or its answer is not read yet."""
-        return bool(self._entries or self.stream.unsent)
+    def is_closable(self, now):
+        """Whether no request is served, and no answer is being read."""
+        is_reading = now - self.read_at <= callerroom.STALL_SECONDS
+        return not self._started and not (self.stream.unsent and is_reading)
 
     def refuse_partial(self):
         """Drop the part of a request that was received, to make room."""
@@ -119,17 +119,20 @@
         self._advance()
 
     def check(self, now):
-        """Refuse a request that arrives too slowly; close an idle connection."""
+        """Refuse a request that arrives too slowly; close an idle connection.
+
+        One that sent more requests, and reads nothing of an answer, is idle.
+        """
         has_read = self.stream.unsent < self._unsent
         if has_read or not self._unsent:
             self.read_at = now
         self._unsent = self.stream.unsent
-        if self._entries:
+        if self._started:
             return
         if has_read:
             self.waiting_since = now
         limits, age = self._server.limits, now - self.waiting_since
-        if self._is_last_sent or not self._reader.has_begun:
+        if self._is_last_sent or self._entries or not self._reader.has_begun:
             if age > limits.idle_seconds:
                 self.close()
         elif age > (
--- a/tests/test_callerroom.py
+++ b/tests/test_callerroom.py
@@ -29,7 +29,7 @@
     ):
         self.held_bytes = held
         self.is_receiving = held > 0
-        self.is_serving = serving
+        self.is_closable = lambda now: not serving
         self.received_at = self.read_at = time.monotonic() - quiet
         self.stream = FakeStream()
         self.stream.unsent = unread
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,12 +1,13 @@
 """One caller's connection: requests sent ahead, closing responses, limits."""
 
+import time
 import unittest
 from unittest import mock
 
 from hypothesis import settings, stateful, strategies
 
 from jackdawlanding.decisions import routes
-from jackdawlanding.mesh import callers, memory
+from jackdawlanding.mesh import callerroom, callers, memory
 from jackdawlanding.wire import http
 
 LIMITS = routes.Limits(head_bytes=500, body_bytes=100, head_seconds=1, idle_seconds=5)
@@ -224,6 +225,37 @@
         self.assertEqual(self.serving.started, [])
         self.assertEqual(server.room.held_bytes, memory.MAXIMUM_REQUEST_BYTES)
 
+    def stall(self):
+        """Let the caller read nothing of an answer, and send a request more."""
+        self.serving.stream.is_stalled = True
+        self.serving.send(1)
+        self.serving.respond(1, body=b"x" * (callers.MAXIMUM_UNSENT_BYTES + 1))
+        self.serving.send(2)
+        self.assertEqual(self.serving.started, [1])
+        (connection,) = self.serving.server._connections
+        return connection
+
+    def test_a_caller_that_reads_nothing_is_closed_though_it_sent_more(self):
+        """It stayed for good, and kept others from connecting."""
+        connection = self.stall()
+        now = time.monotonic()
+        connection.check(now)
+        connection.check(now + LIMITS.idle_seconds - 1)
+        self.assertFalse(self.serving.stream.is_closed)
+        connection.check(now + LIMITS.idle_seconds + 1)
+        self.assertTrue(self.serving.stream.is_closed)
+
+    def test_a_caller_that_reads_nothing_makes_room_for_others(self):
+        connection = self.stall()
+        now = time.monotonic()
+        connection.check(now)
+        self.assertFalse(connection.is_closable(now))
+        self.assertTrue(connection.is_closable(now + callerroom.STALL_SECONDS + 0.1))
+        self.serving.stream.drain()
+        self.assertFalse(connection.is_closable(now + callerroom.STALL_SECONDS + 0.1))
+        self.serving.respond(2)
+        self.assertTrue(connection.is_closable(now))
+
     def test_a_small_request_costs_no_look_at_other_connections(self):
         """Each one looked through all while there was no room."""
         with mock.patch.object(memory, "has_room") as has_room:
